--- /dev/null
+++ b/JobEntry/ConfigurationWatch.cpp
@@ -0,0 +1,90 @@
+#include "JobEntry/ConfigurationWatch.h"
+
+#include "platform/ConfigurationCodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// Half of the time within which a change must be in force.
+constexpr Duration watchWait = std::chrono::milliseconds(1000);
+constexpr Duration retryPause = std::chrono::milliseconds(100);
+/// A watch that brings nothing may have missed something: read after so many.
+constexpr int watchesPerRead = 2;
+
+} // namespace
+
+ConfigurationWatch::ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, Events events)
+    : context_(context)
+    , store_(store)
+    , events_(std::move(events))
+{
+}
+
+void ConfigurationWatch::start()
+{
+    boost::asio::co_spawn(context_, run(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> ConfigurationWatch::run()
+{
+    boost::asio::steady_timer pause(context_);
+    while (true) {
+        bool isGood = mustRead_ ? co_await readNewest() : co_await watchOnce();
+        if (isGood)
+            continue;
+        mustRead_ = true;
+        pause.expires_after(retryPause);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+boost::asio::awaitable<bool> ConfigurationWatch::readNewest()
+{
+    auto result = co_await store_.read(std::string(UsersPlatform::configurationKey));
+    note(result.has_value(), result ? nullptr : &result.error());
+    if (!result)
+        co_return false;
+    watchesSinceRead_ = 0;
+    const auto& read = result.value();
+    if (!read.item_)
+        co_return false;
+    revision_ = std::max(read.revision_, read.item_->revision_);
+    events_.changed_(read.item_->value_);
+    events_.confirmed_();
+    mustRead_ = false;
+    co_return true;
+}
+
+boost::asio::awaitable<bool> ConfigurationWatch::watchOnce()
+{
+    auto result = co_await store_.watch(std::string(UsersPlatform::configurationKey), revision_, watchWait);
+    note(result.has_value(), result ? nullptr : &result.error());
+    if (!result)
+        co_return false;
+    for (const auto& item : result.value().items_) {
+        if (item.key_ == UsersPlatform::configurationKey)
+            events_.changed_(item.value_);
+    }
+    revision_ = result.value().revision_;
+    mustRead_ = ++watchesSinceRead_ >= watchesPerRead;
+    co_return true;
+}
+
+void ConfigurationWatch::note(bool isReached, const Error* error)
+{
+    if (isReached == isReached_)
+        return;
+    isReached_ = isReached;
+    if (isReached)
+        events_.regained_();
+    else
+        events_.lost_(*error);
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/JobEntry/JobEntryHost.cpp
@@ -0,0 +1,283 @@
+#include "JobEntry/JobEntryHost.h"
+
+#include "Lagoonpick/Configuration/LoadSettings.h"
+#include "Lagoonpick/Core/Underlying.h"
+#include "platform/ConfigurationCodec.h"
+
+#include <fmt/format.h>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// A process that stood still for so long may act on news that is too old. Less than the time after which agents stop
+/// the entry's runs.
+constexpr Duration maxGap = std::chrono::milliseconds(400);
+constexpr std::size_t maxLogBytes = 131'072;
+constexpr Duration storeTimeout = std::chrono::milliseconds(700);
+constexpr Duration reloadCheckInterval = std::chrono::seconds(1);
+/// Descriptors that links, the store and files need besides callers' connections.
+constexpr std::uint32_t reservedDescriptors = 600;
+
+HttpLimits frontLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections_ -= reservedDescriptors;
+    limits.maxBodyBytes_ = 262'144;
+    limits.readTimeout_ = std::chrono::seconds(15);
+    return limits;
+}
+
+HttpLimits controlLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections_ = 64;
+    limits.maxBodyBytes_ = 65'536;
+    limits.readTimeout_ = std::chrono::seconds(15);
+    return limits;
+}
+
+LinkLimits linkLimits()
+{
+    LinkLimits limits;
+    limits.maxLinks_ = 2000;
+    limits.maxBufferedBytes_ = 4'194'304;
+    limits.maxRedialDelay_ = std::chrono::milliseconds(500);
+    limits.handshakeTimeout_ = std::chrono::milliseconds(500);
+    return limits;
+}
+
+} // namespace
+
+JobEntryHost::JobEntryHost(boost::asio::io_context& context, JobEntrySettings settings, std::string settingsFile, std::uint64_t seed)
+    : context_(context)
+    , settings_(std::move(settings))
+    , settingsFile_(std::move(settingsFile))
+    , gaps_(maxGap)
+    , log_(settings_.job_.name_, maxLogBytes)
+    , core_(settings_.job_, seed)
+    , links_(context, linkLimits(),
+          { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
+              [this](LinkId link, std::vector<Wire::RunMessage> messages) {
+                  Time now = enter();
+                  for (const auto& message : messages)
+                      core_.receive(link, message, now);
+                  loop_.schedule();
+              } },
+          seed + 1)
+    , front_(context, frontLimits(), [this](HttpRequest request, HttpServer::Respond respond) { handleFront(std::move(request), std::move(respond)); })
+    , ready_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+        if (UsersPlatform::isReadinessPath(request.path_))
+            respond(UsersPlatform::encodeReadiness(core_.isReady()));
+        else
+            respond(UsersPlatform::encodeNoSuchJob());
+    })
+    , metrics_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
+    , store_(context, settings_.storeAddress_, storeTimeout)
+    , configuration_(context, store_,
+          { [this](const std::string& text) { installConfiguration(text, "store"); }, [this] { core_.confirmConfiguration(enter()); },
+              [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
+    , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
+    , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
+{
+}
+
+std::string JobEntryHost::start()
+{
+    startedAt_ = enter();
+    settingsText_ = readFile(settingsFile_).value_or("");
+    log(LogLine("started").text("availability_zone", settings_.job_.availabilityZone_).text("incarnation", settings_.job_.incarnation_.toString()));
+    auto fault = links_.listen(settings_.job_.linkAddress_);
+    if (fault.empty())
+        fault = front_.listen(settings_.frontAddress_);
+    if (fault.empty())
+        fault = ready_.listen(settings_.readyAddress_);
+    if (fault.empty())
+        fault = metrics_.listen(settings_.metricsAddress_);
+    if (!fault.empty()) {
+        log(LogLine("start_failed").text("error", fault));
+        log_.flush();
+        return fault;
+    }
+    configuration_.start();
+    registration_.start();
+    loop_.start();
+    return {};
+}
+
+Time JobEntryHost::enter()
+{
+    Time now = clock_.now();
+    if (auto gap = gaps_.check(now))
+        core_.resume(*gap, now);
+    return now;
+}
+
+void JobEntryHost::handleFront(HttpRequest request, HttpServer::Respond respond)
+{
+    enter();
+    auto call = UsersPlatform::decodeJobCall(request);
+    std::visit([&](const auto& alternative) { handle(request, alternative, std::move(respond)); }, call);
+    loop_.schedule();
+}
+
+void JobEntryHost::handle(const HttpRequest& request, const JobRequest& job, HttpServer::Respond respond)
+{
+    CallerId caller { ++lastCaller_ };
+    callers_[toUnderlying(caller)] = std::move(respond);
+    request.presence_->onGone_ = [this, caller] {
+        core_.abandon(caller, enter());
+        loop_.schedule();
+    };
+    core_.submit(caller, job, clock_.now());
+}
+
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::UnsupportedJob& job, HttpServer::Respond respond)
+{
+    auto exists = core_.hasQueue(job.host_, job.path_, clock_.now());
+    log(LogLine("job_rejected").text("job", job.id_).text("why", "unsupported").text("feature", job.feature_));
+    respondTo(respond, exists.value_or(true) ? UsersPlatform::encodeUnsupported(job.feature_) : UsersPlatform::encodeQueueState(exists));
+}
+
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::StateQuery& query, HttpServer::Respond respond)
+{
+    respondTo(respond, core_.isHeld(query.id_) ? UsersPlatform::encodeRunningState() : UsersPlatform::encodeNoSuchJob());
+}
+
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::CancelCall& call, HttpServer::Respond respond)
+{
+    respondTo(respond, core_.cancel(call.id_, clock_.now()) ? UsersPlatform::encodeCancelled() : UsersPlatform::encodeNoSuchJob());
+}
+
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::QueueQuery& query, HttpServer::Respond respond)
+{
+    respondTo(respond, UsersPlatform::encodeQueueState(core_.hasQueue(query.host_, query.path_, clock_.now())));
+}
+
+void JobEntryHost::handle(const HttpRequest& request, const UsersPlatform::MalformedCall& call, HttpServer::Respond respond)
+{
+    log(LogLine("request_malformed").text("path", request.path_).text("why", call.reason_));
+    respondTo(respond, UsersPlatform::encodeMalformed(call.reason_));
+}
+
+void JobEntryHost::respondTo(const HttpServer::Respond& respond, HttpResponse response) const
+{
+    response.mustClose_ = shutdownAt_.has_value();
+    respond(std::move(response));
+}
+
+void JobEntryHost::handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const
+{
+    bool wantsState = request.path_ == "/state";
+    respond({ .contentType_ = wantsState ? "application/json" : "text/plain; version=0.0.4",
+        .body_ = wantsState ? dumpState() : writeJobEntryMetrics(core_, log_, store_),
+        .stream_ = {} });
+}
+
+void JobEntryHost::installConfiguration(const std::string& text, std::string_view source)
+{
+    Time now = enter();
+    auto queues = UsersPlatform::decodeConfiguration(text);
+    if (!queues) {
+        log(LogLine("configuration_unreadable").text("source", source).text("error", queues.error().message_));
+        return;
+    }
+    core_.setQueues(std::move(queues).value(), text, now);
+    loop_.schedule();
+}
+
+void JobEntryHost::tick()
+{
+    Time now = enter();
+    core_.tick(now);
+    applyEffects();
+    announceToSeeds();
+    if (now >= nextReloadCheck_) {
+        nextReloadCheck_ = now + reloadCheckInterval;
+        reload();
+    }
+    if (shutdownAt_)
+        continueShutdown(now);
+    log_.flush();
+}
+
+void JobEntryHost::applyEffects()
+{
+    JobEffects effects = core_.takeEffects();
+    Time now = clock_.now();
+    for (const auto& line : effects.log_)
+        log_.write(now, line);
+    for (LinkId link : effects.linksToAbort_)
+        links_.abort(link);
+    links_.send(std::move(effects.messages_));
+    for (const auto& answer : effects.answers_) {
+        auto found = callers_.find(toUnderlying(answer.caller_));
+        if (found == callers_.end())
+            continue;
+        auto respond = std::move(found->second);
+        callers_.erase(found);
+        respondTo(respond, UsersPlatform::encodeAnswer(answer));
+    }
+    for (const auto& copy : effects.configurations_)
+        installConfiguration(copy.text_, "agent");
+}
+
+/// While no agent has found this entry, it makes itself known to the entries that its settings name.
+void JobEntryHost::announceToSeeds()
+{
+    std::vector<std::string> addresses;
+    if (core_.agents().empty() && !shutdownAt_) {
+        for (const auto& seed : settings_.seeds_) {
+            auto address = onHostOf(seed, settings_.job_.linkAddress_);
+            if (address != settings_.job_.linkAddress_)
+                addresses.push_back(address);
+        }
+    }
+    links_.want(addresses);
+}
+
+void JobEntryHost::reload()
+{
+    auto text = readFile(settingsFile_);
+    if (!text || *text == settingsText_)
+        return;
+    settingsText_ = *text;
+    auto settings = readSettingsFile(settingsFile_, readJobEntrySettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); });
+    if (!settings)
+        return;
+    // Addresses and times hold for the life of the process; only where to find others can change within it.
+    settings_.seeds_ = settings->seeds_;
+    log(LogLine("settings_reloaded").number("seeds", settings_.seeds_.size()));
+}
+
+void JobEntryHost::beginShutdown()
+{
+    if (shutdownAt_)
+        return;
+    shutdownAt_ = enter();
+    log(LogLine("stopping").number("jobs", core_.jobCount()).number("connections", front_.busyConnections()));
+    core_.beginShutdown(*shutdownAt_);
+    registration_.stop();
+}
+
+void JobEntryHost::continueShutdown(Time now)
+{
+    bool isAccepting = now - *shutdownAt_ < settings_.job_.shutdownAcceptance_;
+    bool isOver = now - *shutdownAt_ >= settings_.job_.shutdownTimeout_;
+    if (isAccepting || (front_.busyConnections() && !isOver))
+        return;
+    log(LogLine("stopped").milliseconds("after_ms", now - *shutdownAt_).number("connections", front_.busyConnections()));
+    log_.flush();
+    loop_.stop();
+    context_.stop();
+}
+
+std::string JobEntryHost::dumpState() const
+{
+    std::string agents;
+    for (const auto& [incarnation, agent] : core_.agents())
+        agents += fmt::format("{}{{\"agent\":\"{}\",\"linked\":{},\"open\":{},\"suspect\":{},\"used\":{},\"capacity\":{},\"runs\":{}}}", agents.empty() ? "" : ",", agent.name_, agent.link_.has_value(), agent.report_.isOpen_, agent.report_.isSuspect_, agent.report_.used_.milliCores_, agent.report_.capacity_.milliCores_, agent.runs_.size());
+    return fmt::format("{{\"entry\":\"{}\",\"ready\":{},\"configuration\":{},\"jobs\":{},\"agents\":[{}]}}", settings_.job_.name_, core_.isReady(), core_.configurationVersion(), core_.jobCount(), agents);
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -0,0 +1,36 @@
+#include "JobEntry/JobEntryHost.h"
+
+namespace Lagoonpick {
+
+std::string writeJobEntryMetrics(const JobCore& core, const EventLog& log, const UsersPlatform::StoreClient& store)
+{
+    const JobCounters& counters = core.counters();
+    std::string text;
+    writeMetricHead(text, "lagoonpick_jobs_total", "counter", "Jobs by how they ended.");
+    writeMetric(text, "lagoonpick_jobs_total", "end=\"done\"", static_cast<double>(counters.done_));
+    writeMetric(text, "lagoonpick_jobs_total", "end=\"failed\"", static_cast<double>(counters.failed_));
+    writeMetric(text, "lagoonpick_jobs_total", "end=\"cancelled\"", static_cast<double>(counters.cancelled_));
+    writeMetric(text, "lagoonpick_jobs_total", "end=\"rejected\"", static_cast<double>(counters.rejected_));
+    writeMetric(text, "lagoonpick_jobs_total", "end=\"given_up\"", static_cast<double>(counters.givenUp_));
+    writeMetricHead(text, "lagoonpick_jobs_late_total", "counter", "Jobs that were done later than they should.");
+    writeMetric(text, "lagoonpick_jobs_late_total", "", static_cast<double>(counters.doneLate_));
+    writeMetricHead(text, "lagoonpick_runs_total", "counter", "Runs that agents were asked for.");
+    writeMetric(text, "lagoonpick_runs_total", "kind=\"first\"", static_cast<double>(counters.runs_ - counters.repeatedRuns_));
+    writeMetric(text, "lagoonpick_runs_total", "kind=\"repeated\"", static_cast<double>(counters.repeatedRuns_));
+    writeMetricHead(text, "lagoonpick_jobs_held", "gauge", "Jobs that wait for their answer.");
+    writeMetric(text, "lagoonpick_jobs_held", "", static_cast<double>(core.jobCount()));
+    writeMetricHead(text, "lagoonpick_configuration_version", "gauge", "The version of the configuration in force.");
+    writeMetric(text, "lagoonpick_configuration_version", "", static_cast<double>(core.configurationVersion()));
+    writeMetricHead(text, "lagoonpick_agents", "gauge", "Agents with a link.");
+    writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.agents().size()));
+    writeMetricHead(text, "lagoonpick_store_calls_total", "counter", "Calls to the platform's store.");
+    writeMetric(text, "lagoonpick_store_calls_total", "", static_cast<double>(store.calls()));
+    writeMetricHead(text, "lagoonpick_store_failures_total", "counter", "Calls to the platform's store that failed.");
+    writeMetric(text, "lagoonpick_store_failures_total", "", static_cast<double>(store.failures()));
+    writeMetricHead(text, "lagoonpick_log_lines_dropped_total", "counter", "Log lines that did not fit the buffer.");
+    writeMetric(text, "lagoonpick_log_lines_dropped_total", "", static_cast<double>(log.linesDropped()));
+    core.jobTimes().write(text, "lagoonpick_job_seconds", "From a job's arrival to its answer, done or failed.");
+    return text;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/JobEntry/JobEntrySettings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Lagoonpick/Configuration/SettingsReader.h"
+#include "Lagoonpick/Job/JobSettings.h"
+
+#include <vector>
+
+namespace Lagoonpick {
+
+/// Everything that an entry which holds jobs is configured with.
+struct JobEntrySettings {
+    JobSettings job_;
+    std::string frontAddress_;
+    std::string readyAddress_;
+    std::string metricsAddress_;
+    std::string storeAddress_;
+    /// The hosts of other entries, as `IP:port`; the port does not matter.
+    std::vector<std::string> seeds_;
+};
+
+JobEntrySettings readJobEntrySettings(SettingsReader& reader);
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/JobEntry/main.cpp
@@ -0,0 +1,21 @@
+#include "JobEntry/JobEntryHost.h"
+#include "Lagoonpick/Configuration/LoadSettings.h"
+
+#include <csignal>
+
+int main(int argc, char** argv)
+{
+    using namespace Lagoonpick;
+    ProgramInfo info { "lagoonpick-job-entry", "takes jobs that are answered when they have ended, and has agents run their tasks", {}, {} };
+    auto loaded = loadSettings(argc, argv, info, readJobEntrySettings);
+    if (loaded.exit_)
+        return static_cast<int>(*loaded.exit_);
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::asio::io_context context(1);
+    loaded.settings_.job_.incarnation_ = Incarnation(drawSeed() | 1);
+    JobEntryHost host(context, loaded.settings_, loaded.file_, drawSeed());
+    if (!host.start().empty())
+        return static_cast<int>(ExitCode::Unavailable);
+    context.run();
+    return static_cast<int>(host.exitCode());
+}
--- a/Lagoonpick/Configuration/CommandLine.cpp
+++ b/Lagoonpick/Configuration/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr auto version = "0.1.0";
+/// The environment variable that names the settings file where the command line does not.
+constexpr auto configVariable = "LAGOONPICK_CONFIG";
 
 constexpr auto exitCodes = "Exit codes: 0 success, 64 wrong usage, 69 an address can't be had, 75 fenced by other\n"
                            "entries, 76 shutdown took too long, 78 faulty settings.\n";
@@ -28,7 +31,9 @@
     auto add = description.add_options();
     add("help", "print this text");
     add("version", "print the version");
-    add("config", options::value(&line.configFile_)->value_name("FILE"), "settings, as INI");
+    if (const char* file = std::getenv(configVariable))
+        line.configFile_ = file;
+    add("config", options::value(&line.configFile_)->value_name("FILE"), "settings, as INI; LAGOONPICK_CONFIG if not given");
     add("check", options::bool_switch(&line.isCheckOnly_), "check the settings and exit");
     options::options_description hidden;
     hidden.add_options()("command", options::value(&line.command_));
--- a/Lagoonpick/Configuration/SettingsReader.cpp
+++ b/Lagoonpick/Configuration/SettingsReader.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonpick/Configuration/SettingsReader.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -117,6 +119,21 @@
     return std::chrono::milliseconds(read);
 }
 
+double SettingsReader::decimal(std::string_view section, std::string_view key, double otherwise, double least, double most)
+{
+    const Value* value = find(section, key);
+    if (!value)
+        return otherwise;
+    const std::string& text = value->text_;
+    double parsed = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), parsed);
+    bool isWhole = error == std::errc() && end == text.data() + text.size();
+    if (isWhole && parsed >= least && parsed <= most)
+        return parsed;
+    report(section, key, value, fmt::format("give a number from {} to {}", least, most));
+    return otherwise;
+}
+
 std::string SettingsReader::address(std::string_view section, std::string_view key, std::string_view otherwise)
 {
     const Value* value = find(section, key);
@@ -160,4 +177,17 @@
     return !error && address.is_v6() == isBracketed;
 }
 
+std::vector<std::string> splitList(const std::string& text)
+{
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(", "), boost::algorithm::token_compress_on);
+    std::erase_if(parts, [](const std::string& part) { return part.empty() || part == "-"; });
+    return parts;
+}
+
+std::string onHostOf(const std::string& otherAddress, const std::string& ownAddress)
+{
+    return otherAddress.substr(0, otherAddress.rfind(':')) + ownAddress.substr(ownAddress.rfind(':'));
+}
+
 } // namespace Lagoonpick
--- a/Lagoonpick/Configuration/SettingsReader.h
+++ b/Lagoonpick/Configuration/SettingsReader.h
@@ -44,6 +44,9 @@
     /// A span in whole milliseconds, from `least` to `most`.
     Duration milliseconds(std::string_view section, std::string_view key, Duration otherwise, Duration least, Duration most);
 
+    /// A decimal number from `least` to `most`.
+    double decimal(std::string_view section, std::string_view key, double otherwise, double least, double most);
+
     /// An address as `IP:port`; the host must be a number. A missing one is a fault unless there is a default.
     std::string address(std::string_view section, std::string_view key, std::string_view otherwise = {});
 
@@ -70,6 +73,12 @@
     std::vector<SettingFault> faults_;
 };
 
+/// The parts of a list that is separated by commas or spaces; none of `-`, which stands for an empty list.
+std::vector<std::string> splitList(const std::string& text);
+
+/// The address that another instance uses for what this one serves at `ownAddress`: ports are the same everywhere.
+std::string onHostOf(const std::string& otherAddress, const std::string& ownAddress);
+
 /// True if `text` is `IP:port` with a numeric IPv4 address or a bracketed IPv6 address.
 bool isSocketAddress(std::string_view text);
 
--- /dev/null
+++ b/Lagoonpick/Job/AgentTable.cpp
@@ -0,0 +1,20 @@
+#include "Lagoonpick/Job/AgentTable.h"
+
+namespace Lagoonpick {
+
+namespace {
+
+constexpr double permille = 1000;
+
+} // namespace
+
+TargetLoadView AgentRow::load() const
+{
+    TargetLoadView view { .capacity_ = report_.capacity_, .committed_ = report_.used_, .slowness_ = static_cast<double>(report_.slownessPermille_) / permille, .typicalTime_ = Duration(static_cast<Duration::rep>(report_.typicalMicroseconds_)) };
+    view.committed_ = view.committed_ + report_.queued_;
+    for (auto run = runs_.upper_bound(report_.seenRun_); run != runs_.end(); ++run)
+        view.committed_ = view.committed_ + run->second;
+    return view;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Job/JobTable.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Lagoonpick/Job/JobRequest.h"
+#include "Lagoonpick/Core/Incarnation.h"
+
+#include <map>
+#include <set>
+
+namespace Lagoonpick {
+
+/// One task of a job that an entry holds.
+struct JobTask {
+    bool isDone_ { false };
+    /// The run that is under way; 0 if the task waits to be placed.
+    std::uint64_t run_ { 0 };
+    Incarnation agent_;
+    /// Of the last start.
+    std::uint32_t number_ { 0 };
+    std::uint32_t failures_ { 0 };
+    /// The agents on which it did not work out.
+    std::set<Incarnation> avoided_;
+};
+
+/// A job that an entry holds until it is answered.
+struct HeldJob {
+    JobRequest request_;
+    QueueRule queue_;
+    std::vector<CallerId> callers_;
+    Time arrivedAt_;
+    /// When it should have ended.
+    Time due_;
+    /// When its callers wait no more.
+    Time deadline_;
+    Duration work_ {};
+    std::vector<JobTask> tasks_;
+    std::uint32_t doneCount_ { 0 };
+    /// Some task may have begun.
+    bool hasBegun_ { false };
+    /// Nothing more is started; the answer waits for the ends of the runs that were called back.
+    bool isRecalled_ { false };
+    Time recalledAt_;
+    JobRefusal refusal_ { JobRefusal::None };
+};
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Observability/EventLog.cpp
@@ -0,0 +1,103 @@
+#include "Lagoonpick/Observability/EventLog.h"
+
+#include <fmt/format.h>
+#include <iterator>
+#include <poll.h>
+#include <unistd.h>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// A write of up to this many bytes to a pipe that polls as writable does not block (PIPE_BUF).
+constexpr std::size_t maxWriteBytes = 4096;
+/// Room that is kept for the line that tells of dropped ones.
+constexpr std::size_t dropNoticeBytes = 256;
+constexpr unsigned char firstPrintable = 0x20;
+
+void appendEscaped(std::string& target, std::string_view text)
+{
+    for (char character : text) {
+        auto byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\')
+            target += '\\';
+        if (byte < firstPrintable)
+            fmt::format_to(std::back_inserter(target), "\\u{:04x}", byte);
+        else
+            target += character;
+    }
+}
+
+} // namespace
+
+LogLine::LogLine(std::string_view event)
+{
+    fields_ = "\"event\":\"";
+    fields_ += event;
+    fields_ += '"';
+}
+
+LogLine& LogLine::text(std::string_view name, std::string_view value)
+{
+    fmt::format_to(std::back_inserter(fields_), ",\"{}\":\"", name);
+    appendEscaped(fields_, value);
+    fields_ += '"';
+    return *this;
+}
+
+LogLine& LogLine::milliseconds(std::string_view name, Duration value)
+{
+    return raw(name, fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(value).count()));
+}
+
+LogLine& LogLine::raw(std::string_view name, std::string_view value)
+{
+    fmt::format_to(std::back_inserter(fields_), ",\"{}\":{}", name, value);
+    return *this;
+}
+
+EventLog::EventLog(std::string_view process, std::size_t maxBufferedBytes)
+    : process_(process)
+    , maxBufferedBytes_(maxBufferedBytes)
+{
+}
+
+void EventLog::write(Time now, const LogLine& line)
+{
+    std::size_t size = line.fields().size() + process_.size() + dropNoticeBytes;
+    if (buffer_.size() - written_ + size > maxBufferedBytes_) {
+        ++dropped_;
+        ++allDropped_;
+        return;
+    }
+    if (dropped_) {
+        append(now, LogLine("log_lines_dropped").number("lines", dropped_));
+        dropped_ = 0;
+    }
+    append(now, line);
+}
+
+void EventLog::append(Time now, const LogLine& line)
+{
+    fmt::format_to(std::back_inserter(buffer_), "{{\"at_ms\":{},\"process\":\"{}\",{}}}\n", toUnixMilliseconds(now), process_, line.fields());
+}
+
+void EventLog::flush()
+{
+    while (written_ < buffer_.size()) {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        if (poll(&output, 1, 0) != 1 || !(output.revents & POLLOUT))
+            break;
+        std::size_t size = std::min(maxWriteBytes, buffer_.size() - written_);
+        auto count = ::write(STDOUT_FILENO, buffer_.data() + written_, size);
+        if (count <= 0)
+            break;
+        written_ += static_cast<std::size_t>(count);
+    }
+    if (written_ == buffer_.size()) {
+        buffer_.clear();
+        written_ = 0;
+    }
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Observability/EventLog.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Lagoonpick/Core/Time.h"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Lagoonpick {
+
+/// One JSON line of the log: what was decided, with its inputs and its outcome.
+///
+/// `LogLine("job_rejected").text("job", id).number("wait_ms", 40)`.
+class LogLine {
+public:
+    explicit LogLine(std::string_view event);
+
+    LogLine& text(std::string_view name, std::string_view value);
+    LogLine& number(std::string_view name, std::integral auto value) { return raw(name, std::to_string(value)); }
+    LogLine& flag(std::string_view name, bool value) { return raw(name, value ? "true" : "false"); }
+    LogLine& milliseconds(std::string_view name, Duration value);
+
+    /// The fields, without the braces, the time and the process's name.
+    const std::string& fields() const { return fields_; }
+
+private:
+    LogLine& raw(std::string_view name, std::string_view value);
+
+    std::string fields_;
+};
+
+/// The process's log on standard output: JSON lines, never blocking and bounded.
+///
+/// Lines wait in a buffer until the reader of standard output takes them. What doesn't fit is dropped, and the next
+/// line that fits says how many were. Not thread-safe.
+class EventLog {
+public:
+    EventLog(std::string_view process, std::size_t maxBufferedBytes);
+
+    void write(Time now, const LogLine& line);
+
+    /// Hands over what standard output takes without blocking.
+    void flush();
+
+    std::uint64_t linesDropped() const { return allDropped_; }
+
+private:
+    void append(Time now, const LogLine& line);
+
+    std::string process_;
+    std::size_t maxBufferedBytes_;
+    std::string buffer_;
+    std::size_t written_ { 0 };
+    std::uint64_t dropped_ { 0 };
+    std::uint64_t allDropped_ { 0 };
+};
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -0,0 +1,565 @@
+#include "Lagoonpick/Run/RunCore.h"
+
+#include "Lagoonpick/Core/Underlying.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Lagoonpick {
+
+using Wire::NotStartedReason;
+using Wire::RunEnd;
+
+namespace {
+
+/// How long to wait after the target said that it is full: about two answers' time.
+constexpr Duration noRoomPause = std::chrono::milliseconds(10);
+/// How far a fencing token is raised once a higher one was met: beyond any step of the clock it was made from.
+constexpr std::uint64_t tokenStep = 3'600'000;
+/// An end that an entry does not confirm is kept in this number at most.
+constexpr std::size_t maxUnconfirmed = 4096;
+constexpr std::size_t maxToldEntries = 1024;
+
+std::string_view jobOf(const std::string& task)
+{
+    return std::string_view(task).substr(0, task.find('.'));
+}
+
+std::string_view nameOf(RunEnd end)
+{
+    constexpr std::array<std::string_view, 5> names { "done", "failed", "stopped", "lost", "not_started" };
+    return names[toUnderlying(end)];
+}
+
+std::string_view nameOf(NotStartedReason reason)
+{
+    constexpr std::array<std::string_view, 9> names { "none", "no_room", "draining", "target_unavailable", "old_number",
+        "rejected", "unanswered", "recalled", "unknown" };
+    return names[toUnderlying(reason)];
+}
+
+} // namespace
+
+RunCore::RunCore(RunSettings settings)
+    : settings_(std::move(settings))
+    , fencingToken_(settings_.fencingToken_)
+{
+}
+
+void RunCore::opened(LinkId link, Time)
+{
+    send(link, Wire::AgentHello { .incarnation_ = settings_.incarnation_, .name_ = settings_.name_, .availabilityZone_ = settings_.availabilityZone_ });
+}
+
+void RunCore::closed(LinkId link, Time now)
+{
+    if (EntrySession* session = sessionOf(link)) {
+        session->link_.reset();
+        log(LogLine("entry_lost").text("entry", session->name_).milliseconds("silent_ms", now - session->lastHeard_));
+    }
+    links_.erase(link);
+}
+
+void RunCore::receive(LinkId link, const Wire::RunMessage& message, Time now)
+{
+    EntrySession* session = sessionOf(link);
+    if (!session && !std::holds_alternative<Wire::EntryHello>(message)) {
+        effects_.linksToAbort_.push_back(link);
+        return;
+    }
+    if (session)
+        session->lastHeard_ = now;
+    std::visit([&](const auto& alternative) { handle(link, alternative, now); }, message);
+}
+
+EntrySession* RunCore::sessionOf(LinkId link)
+{
+    auto found = links_.find(link);
+    return found == links_.end() ? nullptr : &sessions_[found->second];
+}
+
+void RunCore::handle(LinkId link, const Wire::EntryHello& hello, Time now)
+{
+    if (hello.version_ != Wire::runProtocolVersion) {
+        log(LogLine("entry_rejected").text("entry", hello.name_).number("version", hello.version_));
+        effects_.linksToAbort_.push_back(link);
+        return;
+    }
+    EntrySession& session = sessions_[hello.incarnation_];
+    // What an older link still holds must not be handled after what comes on this one.
+    if (session.link_ && *session.link_ != link) {
+        effects_.linksToAbort_.push_back(*session.link_);
+        links_.erase(*session.link_);
+    }
+    links_[link] = hello.incarnation_;
+    session.name_ = hello.name_;
+    session.address_ = hello.address_;
+    session.link_ = link;
+    session.lastHeard_ = now;
+    session.nextReport_ = now;
+    session.isReportDue_ = true;
+    session.nextPulse_ = now;
+    session.configurationVersion_ = 0;
+    if (toldEntries_.size() < maxToldEntries)
+        toldEntries_.insert(hello.address_);
+    for (const auto& ended : session.unconfirmed_)
+        send(link, ended);
+    log(LogLine("entry_attached").text("entry", hello.name_).number("ends_repeated", session.unconfirmed_.size()));
+}
+
+void RunCore::handle(LinkId link, const Wire::Pulse& pulse, Time)
+{
+    EntrySession& session = *sessionOf(link);
+    session.configurationVersion_ = pulse.configurationVersion_;
+    while (!session.unconfirmed_.empty() && session.unconfirmed_.front().sequence_ <= pulse.endsSeen_)
+        session.unconfirmed_.pop_front();
+    if (configuration_.version_ > pulse.configurationVersion_) {
+        send(link, configuration_);
+        session.configurationVersion_ = configuration_.version_;
+    }
+}
+
+void RunCore::handle(LinkId, const Wire::ConfigurationCopy& copy, Time)
+{
+    if (copy.version_ <= configuration_.version_)
+        return;
+    configuration_ = copy;
+    log(LogLine("configuration_kept").number("version", copy.version_));
+    for (auto& [incarnation, session] : sessions_) {
+        if (session.link_ && session.configurationVersion_ < copy.version_) {
+            send(*session.link_, configuration_);
+            session.configurationVersion_ = copy.version_;
+        }
+    }
+}
+
+void RunCore::handle(LinkId, const Wire::EntryAddresses& entries, Time)
+{
+    for (const auto& address : entries.addresses_) {
+        if (toldEntries_.size() < maxToldEntries)
+            toldEntries_.insert(address);
+    }
+}
+
+void RunCore::handle(LinkId link, const Wire::StartRun& message, Time now)
+{
+    EntrySession& session = *sessionOf(link);
+    Incarnation entry = links_[link];
+    session.highestRun_ = std::max(session.highestRun_, message.run_);
+    markReportsDue();
+    if (runs_.findOfEntry(entry, message.run_))
+        return;
+    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_,
+        .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)),
+        .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_) };
+    NotStartedReason reason = NotStartedReason::None;
+    if (isClosing_ || target_.heartbeat().isDraining_)
+        reason = NotStartedReason::Draining;
+    else if (!isOpen())
+        reason = NotStartedReason::TargetUnavailable;
+    else if (!hasRoom(target_.heartbeat().capacity_, {}, message.need_) || runs_.queuedCount() >= settings_.maxQueued_)
+        reason = NotStartedReason::NoRoom;
+    else if (runs_.findOnTarget(run.name_))
+        reason = NotStartedReason::OldNumber;
+    RunId id = runs_.add(std::move(run));
+    if (reason != NotStartedReason::None)
+        end(id, RunEnd::NotStarted, reason, now);
+}
+
+void RunCore::handle(LinkId link, const Wire::StopRun& message, Time now)
+{
+    RunId id = runs_.findOfEntry(links_[link], message.run_);
+    Run* run = runs_.find(id);
+    if (run)
+        requestStop(id, *run, NotStartedReason::Recalled, now);
+}
+
+void RunCore::handle(LinkId link, const Wire::QueryRun& message, Time)
+{
+    EntrySession& session = *sessionOf(link);
+    Incarnation entry = links_[link];
+    session.highestRun_ = std::max(session.highestRun_, message.run_);
+    bool isTold = std::any_of(session.unconfirmed_.begin(), session.unconfirmed_.end(), [&](const auto& ended) { return ended.run_ == message.run_; });
+    if (isTold || runs_.findOfEntry(entry, message.run_))
+        return;
+    tell(entry, session, { .run_ = message.run_, .end_ = RunEnd::NotStarted, .reason_ = NotStartedReason::Unknown });
+}
+
+bool RunCore::receive(const TargetHeartbeat& heartbeat, Time now)
+{
+    bool wasDraining = target_.heartbeat().isDraining_;
+    auto change = target_.update(heartbeat);
+    if (change == TargetState::Change::None)
+        return true;
+    if (change == TargetState::Change::NewIncarnation) {
+        log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.bornAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
+        loseAll("target_replaced", now);
+        orphans_.clear();
+        endsSeen_ = 0;
+        hasLeaseAnswer_ = false;
+        isLeaseLost_ = false;
+        leaseAnsweredAt_ = now;
+        pendingLeases_.clear();
+        renewLease(now);
+    }
+    if (target_.heartbeat().isDraining_ && !wasDraining)
+        log(LogLine("target_draining").text("target", heartbeat.incarnation_.id_).number("sequence", heartbeat.sequence_).number("running", runs_.rows().size()));
+    markReportsDue();
+    return true;
+}
+
+void RunCore::depart(const std::string& target, Time)
+{
+    target_.depart(target);
+    log(LogLine("target_departed").text("target", target));
+    markReportsDue();
+}
+
+bool RunCore::isOpen() const
+{
+    return target_.takesWork() && hasLeaseAnswer_ && !isLeaseLost_ && !isClosing_ && orphans_.empty();
+}
+
+RunCore::RunId RunCore::nextToStart() const
+{
+    const Wire::Resources used = runs_.used();
+    const Wire::Resources& capacity = target_.heartbeat().capacity_;
+    RunId best = 0;
+    const Run* bestRun = nullptr;
+    for (const auto& [id, run] : runs_.rows()) {
+        if (run.phase_ != RunPhase::Queued || !hasRoom(capacity, used, run.need_))
+            continue;
+        if (!bestRun || run.due_ < bestRun->due_) {
+            best = id;
+            bestRun = &run;
+        }
+    }
+    return best;
+}
+
+void RunCore::startWhatFits(Time now)
+{
+    if (!isOpen() || now < noRoomUntil_)
+        return;
+    for (RunId id = nextToStart(); id; id = nextToStart())
+        start(id, *runs_.find(id), now);
+}
+
+void RunCore::start(RunId id, Run& run, Time now)
+{
+    auto clock = target_.clockAt(now);
+    if (!clock)
+        return;
+    run.phase_ = RunPhase::Starting;
+    run.startSentAt_ = now;
+    std::int64_t leaseUntil = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
+    leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
+    effects_.starts_.push_back({ .call_ = id, .name_ = run.name_, .payload_ = run.payload_, .leaseUntil_ = leaseUntil, .fencingToken_ = fencingToken_, .expectedTarget_ = target_.incarnation().id_ });
+    markReportsDue();
+}
+
+void RunCore::receiveStartReply(const CallReply& reply, Time now)
+{
+    if (reply.clock_)
+        target_.updateClock(*reply.clock_, now);
+    Run* run = runs_.find(reply.call_);
+    if (!run || run->phase_ == RunPhase::Queued)
+        return;
+    bool isStarting = run->phase_ == RunPhase::Starting;
+    switch (reply.answer_) {
+    case TargetAnswer::Accepted:
+        run->isConfirmed_ = true;
+        run->answeredAt_ = now;
+        if (isStarting) {
+            run->phase_ = RunPhase::Running;
+            ++counters_.started_;
+        }
+        return;
+    case TargetAnswer::NoAnswer:
+        ++counters_.startsUnanswered_;
+        if (isStarting) {
+            log(LogLine("start_unanswered").text("task", run->name_.task_).number("number", run->name_.number_).milliseconds("after_ms", now - run->startSentAt_));
+            run->reason_ = NotStartedReason::Unanswered;
+            run->phase_ = RunPhase::Stopping;
+            sendStop(reply.call_, *run, now);
+        }
+        return;
+    case TargetAnswer::Fenced:
+        raiseToken(now);
+        break;
+    case TargetAnswer::NoRoom:
+        ++counters_.startsWithoutRoom_;
+        noRoomUntil_ = now + noRoomPause;
+        break;
+    case TargetAnswer::Late:
+        break;
+    case TargetAnswer::OldNumber:
+        end(reply.call_, RunEnd::NotStarted, NotStartedReason::OldNumber, now);
+        return;
+    case TargetAnswer::WrongTarget:
+        end(reply.call_, RunEnd::NotStarted, NotStartedReason::TargetUnavailable, now);
+        return;
+    case TargetAnswer::Rejected:
+    case TargetAnswer::Malformed:
+        monitor_.recordFailure(jobOf(run->name_.task_));
+        end(reply.call_, RunEnd::NotStarted, NotStartedReason::Rejected, now);
+        return;
+    }
+    // The target did nothing and may take the same run later.
+    if (isStarting)
+        run->phase_ = RunPhase::Queued;
+    else
+        end(reply.call_, RunEnd::NotStarted, run->reason_, now);
+    markReportsDue();
+}
+
+void RunCore::requestStop(RunId id, Run& run, NotStartedReason reason, Time now)
+{
+    if (run.phase_ == RunPhase::Stopping)
+        return;
+    if (run.phase_ == RunPhase::Queued) {
+        end(id, RunEnd::NotStarted, reason, now);
+        return;
+    }
+    run.reason_ = reason;
+    run.phase_ = RunPhase::Stopping;
+    sendStop(id, run, now);
+}
+
+void RunCore::sendStop(RunId id, Run& run, Time now)
+{
+    run.stopSentAt_ = now;
+    effects_.stops_.push_back({ .call_ = id, .name_ = run.name_, .fencingToken_ = fencingToken_, .expectedTarget_ = target_.incarnation().id_ });
+}
+
+void RunCore::repeatStops(Time now)
+{
+    for (auto& [id, run] : runs_.rows()) {
+        if (run.phase_ == RunPhase::Stopping && !run.isStopAnswered_ && now - run.stopSentAt_ >= settings_.times_.stopTimeout_)
+            sendStop(id, run, now);
+    }
+    for (auto& [name, sentAt] : orphans_) {
+        if (now - sentAt >= settings_.times_.stopTimeout_)
+            stopOrphan(name, now);
+    }
+}
+
+void RunCore::receiveStopReply(const CallReply& reply, Time now)
+{
+    Run* run = runs_.find(reply.call_);
+    if (reply.answer_ == TargetAnswer::Fenced)
+        raiseToken(now);
+    if (!run || run->phase_ != RunPhase::Stopping || reply.answer_ != TargetAnswer::Accepted)
+        return;
+    run->isStopAnswered_ = true;
+    run->answeredAt_ = now;
+}
+
+void RunCore::dropOverdue(Time now)
+{
+    std::vector<RunId> overdue;
+    for (const auto& [id, run] : runs_.rows()) {
+        if (run.phase_ == RunPhase::Queued && run.waitUntil_ <= now)
+            overdue.push_back(id);
+    }
+    for (RunId id : overdue)
+        end(id, RunEnd::NotStarted, NotStartedReason::NoRoom, now);
+}
+
+void RunCore::end(RunId id, RunEnd end, NotStartedReason reason, Time now)
+{
+    Run& run = *runs_.find(id);
+    Duration took = run.startSentAt_ == Time() || end == RunEnd::NotStarted ? Duration() : now - run.startSentAt_;
+    Wire::RunEnded ended { .run_ = run.run_, .end_ = end, .reason_ = end == RunEnd::NotStarted ? reason : NotStartedReason::None, .tookMicroseconds_ = static_cast<std::uint64_t>(took.count()) };
+    switch (end) {
+    case RunEnd::Done:
+        ++counters_.done_;
+        monitor_.recordDone(took, run.work_);
+        break;
+    case RunEnd::Failed:
+        ++counters_.failed_;
+        monitor_.recordFailure(jobOf(run.name_.task_));
+        break;
+    case RunEnd::Stopped:
+        ++counters_.stopped_;
+        break;
+    case RunEnd::Lost:
+        ++counters_.lost_;
+        break;
+    case RunEnd::NotStarted:
+        ++counters_.notStarted_;
+        break;
+    }
+    LogLine line("run_ended");
+    line.text("task", run.name_.task_).number("number", run.name_.number_).text("end", nameOf(end)).milliseconds("took_ms", took).milliseconds("expected_ms", run.work_);
+    if (ended.reason_ != NotStartedReason::None)
+        line.text("reason", nameOf(ended.reason_));
+    log(std::move(line));
+    auto session = sessions_.find(run.entry_);
+    if (session != sessions_.end())
+        tell(run.entry_, session->second, ended);
+    runs_.remove(id);
+    markReportsDue();
+}
+
+void RunCore::tell(Incarnation, EntrySession& session, Wire::RunEnded ended)
+{
+    ended.sequence_ = ++session.lastEnd_;
+    if (session.unconfirmed_.size() == maxUnconfirmed)
+        session.unconfirmed_.pop_front();
+    session.unconfirmed_.push_back(ended);
+    if (session.link_)
+        send(*session.link_, ended);
+}
+
+void RunCore::loseAll(std::string_view why, Time now)
+{
+    std::vector<RunId> sent;
+    for (const auto& [id, run] : runs_.rows()) {
+        if (run.phase_ != RunPhase::Queued)
+            sent.push_back(id);
+    }
+    if (!sent.empty())
+        log(LogLine("runs_lost").text("why", why).number("runs", sent.size()));
+    for (RunId id : sent)
+        end(id, RunEnd::Lost, NotStartedReason::None, now);
+}
+
+void RunCore::stopRunsOf(Incarnation entry, std::string_view why, Time now)
+{
+    std::vector<RunId> ids;
+    for (const auto& [id, run] : runs_.rows()) {
+        if (run.entry_ == entry && run.phase_ != RunPhase::Stopping)
+            ids.push_back(id);
+    }
+    if (ids.empty())
+        return;
+    log(LogLine("runs_stopped").text("entry", sessions_[entry].name_).text("why", why).number("runs", ids.size()));
+    for (RunId id : ids)
+        requestStop(id, *runs_.find(id), NotStartedReason::Recalled, now);
+}
+
+void RunCore::resume(Duration gap, Time now)
+{
+    log(LogLine("resumed").milliseconds("gap_ms", gap));
+    for (auto& [incarnation, session] : sessions_) {
+        if (!session.link_)
+            continue;
+        effects_.linksToAbort_.push_back(*session.link_);
+        links_.erase(*session.link_);
+        session.link_.reset();
+    }
+    checkSessions(now);
+    expireLease(now);
+}
+
+void RunCore::beginShutdown(Time now)
+{
+    isClosing_ = true;
+    refuseQueued(NotStartedReason::Draining, now);
+    markReportsDue();
+}
+
+void RunCore::refuseQueued(NotStartedReason reason, Time now)
+{
+    std::vector<RunId> queued;
+    for (const auto& [id, run] : runs_.rows()) {
+        if (run.phase_ == RunPhase::Queued)
+            queued.push_back(id);
+    }
+    for (RunId id : queued)
+        end(id, RunEnd::NotStarted, reason, now);
+}
+
+void RunCore::tick(Time now)
+{
+    checkSessions(now);
+    expireLease(now);
+    repeatStops(now);
+    if (target_.heartbeat().isDraining_)
+        refuseQueued(NotStartedReason::Draining, now);
+    else if (isLeaseLost_)
+        refuseQueued(NotStartedReason::TargetUnavailable, now);
+    if (pendingLeases_.empty() && now >= renewAt_)
+        renewLease(now);
+    dropOverdue(now);
+    startWhatFits(now);
+    sendPulses(now);
+    sendReports(now);
+}
+
+void RunCore::checkSessions(Time now)
+{
+    for (auto next = sessions_.begin(); next != sessions_.end();) {
+        auto place = next++;
+        Incarnation incarnation = place->first;
+        EntrySession& session = place->second;
+        Duration silence = now - session.lastHeard_;
+        if (silence < settings_.times_.entryTimeout_)
+            continue;
+        if (session.link_) {
+            log(LogLine("entry_silent").text("entry", session.name_).milliseconds("silent_ms", silence));
+            effects_.linksToAbort_.push_back(*session.link_);
+            links_.erase(*session.link_);
+            session.link_.reset();
+        }
+        stopRunsOf(incarnation, "entry_silent", now);
+        bool hasRuns = std::any_of(runs_.rows().begin(), runs_.rows().end(), [incarnation](const auto& row) { return row.second.entry_ == incarnation; });
+        if (silence >= settings_.sessionLifetime_ && !hasRuns)
+            sessions_.erase(place);
+    }
+}
+
+void RunCore::sendPulses(Time now)
+{
+    for (auto& [incarnation, session] : sessions_) {
+        if (!session.link_ || now < session.nextPulse_)
+            continue;
+        session.nextPulse_ = now + settings_.pulseInterval_;
+        send(*session.link_, Wire::Pulse { .configurationVersion_ = configuration_.version_ });
+    }
+}
+
+void RunCore::sendReports(Time now)
+{
+    for (auto& [incarnation, session] : sessions_) {
+        if (!session.link_ || !session.isReportDue_ || now < session.nextReport_)
+            continue;
+        session.isReportDue_ = false;
+        session.nextReport_ = now + settings_.reportInterval_ * static_cast<Duration::rep>(1 + sessions_.size() / 4);
+        session.nextPulse_ = now + settings_.pulseInterval_;
+        send(*session.link_, report(session));
+    }
+}
+
+void RunCore::markReportsDue()
+{
+    for (auto& [incarnation, session] : sessions_)
+        session.isReportDue_ = true;
+}
+
+Wire::TargetReport RunCore::report(const EntrySession& session) const
+{
+    constexpr double permille = 1000;
+    const TargetHeartbeat& heartbeat = target_.heartbeat();
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(monitor_.slowness() * permille), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
+}
+
+void RunCore::send(LinkId link, Wire::RunMessage message)
+{
+    effects_.messages_.push_back({ link, std::move(message) });
+}
+
+void RunCore::raiseToken(Time)
+{
+    fencingToken_ += tokenStep;
+    log(LogLine("fencing_token_raised").number("token", fencingToken_));
+}
+
+RunEffects RunCore::takeEffects()
+{
+    return std::exchange(effects_, {});
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -0,0 +1,171 @@
+#include "Lagoonpick/Run/RunCore.h"
+
+#include <algorithm>
+
+// What an agent does with the lease of its target's runs and with the lists that come with each renewal.
+
+namespace Lagoonpick {
+
+using Wire::NotStartedReason;
+using Wire::RunEnd;
+
+namespace {
+
+/// Orphans' stops carry this call number, which no run has.
+constexpr std::uint64_t noCall = 0;
+/// How long to wait after a renewal that brought nothing: a fraction of the lease.
+constexpr Duration renewalPause = std::chrono::milliseconds(20);
+/// A target's clock may be this much slower than this agent's: its lease then lasts longer by it.
+constexpr double maxClockDrift = 0.02;
+
+} // namespace
+
+void RunCore::renewLease(Time now)
+{
+    if (!target_.incarnation().isValid())
+        return;
+    LeaseCall call { .call_ = ++lastCall_, .leaseUntil_ = {}, .fencingToken_ = fencingToken_, .endsSeen_ = endsSeen_, .wait_ = settings_.renewalWait_, .expectedTarget_ = target_.incarnation().id_ };
+    // Runs of an earlier life of this agent must not go on; and a target that doesn't answer must come to its lease's end.
+    bool isAnswering = now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2;
+    auto clock = target_.clockAt(now);
+    if (hasLeaseAnswer_ && isAnswering && orphans_.empty() && clock) {
+        call.leaseUntil_ = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
+        leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
+    }
+    if (!hasLeaseAnswer_ || !orphans_.empty())
+        call.wait_ = Duration();
+    pendingLeases_[call.call_] = { now, fencingToken_ };
+    effects_.leases_.push_back(std::move(call));
+}
+
+void RunCore::receive(const LeaseReply& reply, Time now)
+{
+    auto pending = pendingLeases_.find(reply.call_);
+    if (pending == pendingLeases_.end())
+        return;
+    PendingLease sent = pending->second;
+    pendingLeases_.erase(pending);
+    switch (reply.answer_) {
+    case TargetAnswer::Accepted:
+        break;
+    case TargetAnswer::Fenced:
+        if (sent.tokenUsed_ == fencingToken_)
+            raiseToken(now);
+        renewLease(now);
+        return;
+    case TargetAnswer::WrongTarget:
+        log(LogLine("target_changed").text("expected", target_.incarnation().id_));
+        loseAll("target_changed", now);
+        hasLeaseAnswer_ = false;
+        markReportsDue();
+        renewAt_ = now + renewalPause;
+        return;
+    default:
+        ++counters_.leaseAnswersMissed_;
+        renewAt_ = now + renewalPause;
+        return;
+    }
+    if (target_.updateBirth(reply.bornAt_)) {
+        log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", reply.bornAt_));
+        loseAll("target_restarted", now);
+        orphans_.clear();
+        endsSeen_ = 0;
+        hasLeaseAnswer_ = false;
+        markReportsDue();
+    }
+    if (isLeaseLost_) {
+        log(LogLine("target_regained").text("target", target_.incarnation().id_));
+        isLeaseLost_ = false;
+        markReportsDue();
+    }
+    if (reply.clock_)
+        target_.updateClock(*reply.clock_, now);
+    leaseAnsweredAt_ = now;
+    noteEnds(reply, now);
+    noteRunning(reply, sent.sentAt_, now);
+    if (!hasLeaseAnswer_) {
+        hasLeaseAnswer_ = true;
+        markReportsDue();
+    }
+    if (orphans_.empty())
+        renewLease(now);
+    else
+        renewAt_ = now + renewalPause;
+}
+
+void RunCore::noteEnds(const LeaseReply& reply, Time now)
+{
+    for (const auto& row : reply.ended_) {
+        if (row.number_ <= endsSeen_)
+            continue;
+        endsSeen_ = row.number_;
+        orphans_.erase(row.name_);
+        RunId id = runs_.findOnTarget(row.name_);
+        if (id)
+            end(id, row.end_, NotStartedReason::None, now);
+    }
+}
+
+void RunCore::noteRunning(const LeaseReply& reply, Time sentAt, Time now)
+{
+    std::set<RunId> listed;
+    std::set<RunName> listedOrphans;
+    for (const auto& row : reply.running_) {
+        RunId id = runs_.findOnTarget(row.name_);
+        if (!id) {
+            listedOrphans.insert(row.name_);
+            continue;
+        }
+        listed.insert(id);
+        Run& run = *runs_.find(id);
+        if (run.phase_ == RunPhase::Starting) {
+            run.phase_ = RunPhase::Running;
+            ++counters_.started_;
+        }
+        if (!run.isConfirmed_) {
+            run.isConfirmed_ = true;
+            run.answeredAt_ = std::max(run.answeredAt_, now);
+        }
+    }
+    for (const auto& name : listedOrphans) {
+        if (!orphans_.contains(name))
+            stopOrphan(name, now);
+    }
+    std::erase_if(orphans_, [&](const auto& orphan) { return !listedOrphans.contains(orphan.first); });
+    std::vector<RunId> missing;
+    for (const auto& [id, run] : runs_.rows()) {
+        bool mustBeListed = run.phase_ == RunPhase::Running || (run.phase_ == RunPhase::Stopping && run.isStopAnswered_);
+        if (mustBeListed && !listed.contains(id) && run.answeredAt_ < sentAt)
+            missing.push_back(id);
+    }
+    for (RunId id : missing) {
+        const Run& run = *runs_.find(id);
+        if (run.isConfirmed_)
+            end(id, RunEnd::Lost, NotStartedReason::None, now);
+        else
+            end(id, RunEnd::NotStarted, run.reason_, now);
+    }
+}
+
+void RunCore::stopOrphan(const RunName& name, Time now)
+{
+    if (!orphans_.contains(name))
+        log(LogLine("orphan_stopped").text("task", name.task_).number("number", name.number_));
+    orphans_[name] = now;
+    effects_.stops_.push_back({ .call_ = noCall, .name_ = name, .fencingToken_ = fencingToken_, .expectedTarget_ = target_.incarnation().id_ });
+}
+
+void RunCore::expireLease(Time now)
+{
+    if (!hasLeaseAnswer_ || isLeaseLost_ || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
+        return;
+    Duration drift(static_cast<Duration::rep>(static_cast<double>(settings_.times_.lease_.count()) * maxClockDrift));
+    if (now <= leaseEndsAt_ + drift + settings_.times_.stopTimeout_)
+        return;
+    isLeaseLost_ = true;
+    log(LogLine("target_lost").text("target", target_.incarnation().id_).milliseconds("silent_ms", now - leaseAnsweredAt_));
+    loseAll("lease_expired", now);
+    markReportsDue();
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Run/RunTimes.cpp
@@ -0,0 +1,24 @@
+#include "Lagoonpick/Run/RunTimes.h"
+
+#include <algorithm>
+
+namespace Lagoonpick {
+
+RunTimes RunTimes::derive(Duration maxLease, Duration stopTimeout, Duration resendInterval)
+{
+    // How much slower than this machine's a target's clock may run, in percent.
+    constexpr Duration::rep maxClockDriftPercent = 2;
+    constexpr Duration::rep percent = 100;
+    // For timers that fire late and messages that are under way.
+    const Duration margin = std::chrono::milliseconds(36);
+    RunTimes times;
+    times.stopTimeout_ = stopTimeout;
+    // A quarter of the resend interval stays for what comes before a lease's last renewal is known to be the last.
+    times.lease_ = std::min(maxLease * 7 / 10, (resendInterval - stopTimeout) * 3 / 5);
+    times.entryTimeout_ = std::min<Duration>((resendInterval - stopTimeout) * 2 / 5, times.lease_);
+    Duration longest = std::max<Duration>(times.lease_ + times.lease_ * maxClockDriftPercent / percent, times.entryTimeout_);
+    times.orphanTimeout_ = longest + stopTimeout + margin;
+    return times;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Run/TargetState.cpp
@@ -0,0 +1,59 @@
+#include "Lagoonpick/Run/TargetState.h"
+
+namespace Lagoonpick {
+
+TargetState::Change TargetState::update(const TargetHeartbeat& heartbeat)
+{
+    const TargetIncarnation& known = incarnation();
+    const TargetIncarnation& told = heartbeat.incarnation_;
+    if (known.isValid() && told.bornAt_ < known.bornAt_)
+        return Change::None;
+    bool isSame = told == known;
+    if (isSame && heartbeat.sequence_ <= heartbeat_.sequence_)
+        return Change::None;
+    // A target that leaves does not change its mind within a life.
+    bool isDraining = heartbeat.isDraining_ || (isSame && heartbeat_.isDraining_);
+    bool isSameBirth = isStale_ && told.id_ == known.id_ && told.bornAt_ == known.bornAt_;
+    heartbeat_ = heartbeat;
+    heartbeat_.isDraining_ = isDraining;
+    isStale_ = false;
+    if (isSame || isSameBirth)
+        return Change::Updated;
+    clock_.reset();
+    return Change::NewIncarnation;
+}
+
+bool TargetState::updateBirth(std::uint64_t bornAt)
+{
+    if (!bornAt || !incarnation().isValid() || bornAt <= incarnation().bornAt_)
+        return false;
+    heartbeat_.incarnation_.bornAt_ = bornAt;
+    heartbeat_.sequence_ = 0;
+    heartbeat_.isDraining_ = false;
+    isStale_ = true;
+    clock_.reset();
+    return true;
+}
+
+void TargetState::depart(const std::string& id)
+{
+    if (id == incarnation().id_)
+        heartbeat_.isDraining_ = true;
+}
+
+void TargetState::updateClock(std::int64_t clock, Time now)
+{
+    // The latest answer counts, also if it is below the estimate: the target's clock may be the slower one, and an
+    // estimate that is too low only shortens a lease.
+    clock_ = clock;
+    clockSeenAt_ = now;
+}
+
+std::optional<std::int64_t> TargetState::clockAt(Time now) const
+{
+    if (!clock_)
+        return std::nullopt;
+    return *clock_ + std::chrono::duration_cast<std::chrono::milliseconds>(now - clockSeenAt_).count();
+}
+
+} // namespace Lagoonpick
--- a/Lagoonpick/Transport/LinkHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -1,8 +1,7 @@
-#include "Lagoonpick/Transport/LinkHub.h"
+#include "Lagoonpick/Transport/FrameHub.h"
 
 #include "Lagoonpick/Core/Underlying.h"
 #include "Lagoonpick/Transport/Http.h"
-#include "Lagoonpick/Wire/MessageCodec.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -44,7 +43,7 @@
 
 } // namespace
 
-struct LinkHub::State : std::enable_shared_from_this<LinkHub::State> {
+struct FrameHub::State : std::enable_shared_from_this<FrameHub::State> {
     struct Link {
         connection_hdl handle_;
         bool isDialled_ { false };
@@ -63,7 +62,7 @@
         connection_hdl handle_;
     };
 
-    State(asio::io_context& context, LinkLimits limits, LinkEvents events, std::uint64_t seed)
+    State(asio::io_context& context, LinkLimits limits, FrameEvents events, std::uint64_t seed)
         : context_(context)
         , limits_(limits)
         , events_(std::move(events))
@@ -122,12 +121,9 @@
         if (found == byHandle_.end())
             return;
         bytesReceived_ += frame.size();
-        auto messages = Wire::decode(frame);
-        if (!messages) {
-            drop(found->second, true);
-            return;
-        }
-        events_.received_(found->second, std::move(messages).value());
+        LinkId id = found->second;
+        if (!events_.received_(id, frame))
+            drop(id, true);
     }
 
     void drop(LinkId id, bool mustTell)
@@ -154,6 +150,34 @@
             server_.close(link.handle_, code, "", error);
     }
 
+    template <typename Endpoint>
+    void reset(Endpoint& endpoint, const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code error;
+        auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (error)
+            return;
+        boost::system::error_code ignored;
+        auto& socket = connection->get_raw_socket();
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    void abort(LinkId id)
+    {
+        auto found = links_.find(toUnderlying(id));
+        if (found == links_.end())
+            return;
+        Link link = found->second;
+        links_.erase(found);
+        byHandle_.erase(link.handle_);
+        if (link.isDialled_)
+            reset(client_, link.handle_);
+        else
+            reset(server_, link.handle_);
+        redial(link.address_);
+    }
+
     void dial(const std::string& address)
     {
         auto found = dials_.find(address);
@@ -266,12 +290,11 @@
         return !connection->send(frame, websocketpp::frame::opcode::binary);
     }
 
-    void send(LinkId id, std::span<const Wire::Message> messages)
+    void send(LinkId id, const std::string& frame)
     {
         auto found = links_.find(toUnderlying(id));
         if (found == links_.end())
             return;
-        std::string frame = Wire::encode(messages);
         bytesSent_ += frame.size();
         const Link& link = found->second;
         bool isSent = link.isDialled_ ? sendOn(client_, link.handle_, frame) : sendOn(server_, link.handle_, frame);
@@ -286,7 +309,7 @@
 
     asio::io_context& context_;
     LinkLimits limits_;
-    LinkEvents events_;
+    FrameEvents events_;
     std::mt19937_64 random_;
     Server server_;
     Client client_;
@@ -298,15 +321,15 @@
     std::map<std::string, Dial> dials_;
 };
 
-LinkHub::LinkHub(asio::io_context& context, LinkLimits limits, LinkEvents events, std::uint64_t seed)
+FrameHub::FrameHub(asio::io_context& context, LinkLimits limits, FrameEvents events, std::uint64_t seed)
     : state_(std::make_shared<State>(context, limits, std::move(events), seed))
 {
     state_->start();
 }
 
-LinkHub::~LinkHub() = default;
+FrameHub::~FrameHub() = default;
 
-std::string LinkHub::listen(const std::string& address)
+std::string FrameHub::listen(const std::string& address)
 {
     websocketpp::lib::error_code error;
     state_->server_.listen(toEndpoint(address), error);
@@ -316,48 +339,44 @@
     return error ? "can't accept on " + address + ": " + error.message() : std::string();
 }
 
-void LinkHub::stopAccepting()
+void FrameHub::stopAccepting()
 {
     websocketpp::lib::error_code ignored;
     if (state_->server_.is_listening())
         state_->server_.stop_listening(ignored);
 }
 
-void LinkHub::want(const std::vector<std::string>& addresses)
+void FrameHub::want(const std::vector<std::string>& addresses)
 {
     state_->want(addresses);
 }
 
-void LinkHub::send(LinkId link, std::span<const Wire::Message> messages)
+void FrameHub::send(LinkId link, const std::string& frame)
 {
-    state_->send(link, messages);
+    state_->send(link, frame);
 }
 
-void LinkHub::send(std::vector<Wire::OutgoingMessage> messages)
+void FrameHub::close(LinkId link)
 {
-    std::unordered_map<std::uint64_t, std::vector<Wire::Message>> frames;
-    for (auto& item : messages)
-        frames[toUnderlying(item.link_)].push_back(std::move(item.message_));
-    for (const auto& [link, frame] : frames)
-        state_->send(LinkId(link), frame);
+    state_->drop(link, false);
 }
 
-void LinkHub::close(LinkId link)
+void FrameHub::abort(LinkId link)
 {
-    state_->drop(link, false);
+    state_->abort(link);
 }
 
-std::uint64_t LinkHub::bytesSent() const
+std::uint64_t FrameHub::bytesSent() const
 {
     return state_->bytesSent_;
 }
 
-std::uint64_t LinkHub::bytesReceived() const
+std::uint64_t FrameHub::bytesReceived() const
 {
     return state_->bytesReceived_;
 }
 
-void LinkHub::closeAll()
+void FrameHub::closeAll()
 {
     stopAccepting();
     state_->dials_.clear();
--- a/Lagoonpick/Transport/HostLoop.cpp
+++ b/Lagoonpick/Transport/HostLoop.cpp
@@ -21,6 +21,8 @@
 
 void HostLoop::start()
 {
+    if (handlers_.reload_)
+        signals_.add(SIGHUP);
     waitForTimer();
     waitForSignal();
 }
@@ -60,6 +62,8 @@
             return;
         if (signal == SIGUSR1)
             handlers_.dump_();
+        else if (signal == SIGHUP)
+            handlers_.reload_();
         else
             handlers_.shutDown_();
         waitForSignal();
--- a/Lagoonpick/Transport/HostLoop.h
+++ b/Lagoonpick/Transport/HostLoop.h
@@ -10,7 +10,7 @@
 namespace Lagoonpick {
 
 /// When a daemon's decision core runs and what its signals do: a tick after each batch of inputs and at a timer,
-/// SIGTERM and SIGINT to shut down, SIGUSR1 to dump the state.
+/// SIGTERM and SIGINT to shut down, SIGUSR1 to dump the state, SIGHUP to reload.
 ///
 /// Lives on one `io_context` that one thread runs.
 class HostLoop {
@@ -19,6 +19,8 @@
         std::function<void()> tick_;
         std::function<void()> shutDown_;
         std::function<void()> dump_;
+        /// What SIGHUP does; nothing if it isn't set.
+        std::function<void()> reload_ {};
     };
 
     HostLoop(boost::asio::io_context& context, Handlers handlers);
--- a/Lagoonpick/Transport/Http.h
+++ b/Lagoonpick/Transport/Http.h
@@ -9,12 +9,28 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Lagoonpick {
 
 /// A TCP endpoint from `IP:port` text that `isSocketAddress` accepts.
 boost::asio::ip::tcp::endpoint toEndpoint(const std::string& address);
 
+/// One header field.
+struct HttpHeader {
+    std::string name_;
+    std::string value_;
+    bool operator==(const HttpHeader&) const = default;
+};
+
+/// The value of the header field `name`, whatever its letters' case; empty if there is none.
+std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name);
+
+/// Tells that the other side closed its connection before it was answered.
+struct CallerPresence {
+    std::function<void()> onGone_;
+};
+
 /// A whole HTTP request.
 struct HttpRequest {
     std::string method_;
@@ -24,6 +40,8 @@
     /// The `Idempotency-Key` header; empty if there is none.
     std::string idempotencyKey_;
     std::string body_;
+    std::vector<HttpHeader> headers_;
+    std::shared_ptr<CallerPresence> presence_;
 };
 
 /// Feeds a response whose body is written bit by bit. Used from the server's thread only.
@@ -53,6 +71,8 @@
     std::shared_ptr<HttpStream> stream_;
     /// Drop the connection without answering; for stand-ins that lose answers.
     bool isDropped_ { false };
+    /// Ask the other side to send further requests on another connection.
+    bool mustClose_ { false };
 };
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Transport/HttpClient.cpp
+++ b/Lagoonpick/Transport/HttpClient.cpp
@@ -16,8 +16,6 @@
 
 constexpr auto useTuple = asio::experimental::as_tuple(asio::use_awaitable);
 
-/// Well below any server's own idle timeout, so that a kept connection is hardly ever closed under a request.
-constexpr auto maxIdle = std::chrono::milliseconds(500);
 constexpr std::size_t maxIdleConnections = 64;
 constexpr int httpVersion = 11;
 
@@ -28,6 +26,8 @@
     message.set(http::field::content_type, request.contentType_);
     if (!request.idempotencyKey_.empty())
         message.set("Idempotency-Key", request.idempotencyKey_);
+    for (const auto& header : request.headers_)
+        message.set(header.name_, header.value_);
     message.body() = std::move(request.body_);
     message.prepare_payload();
     return message;
@@ -56,16 +56,17 @@
     std::chrono::steady_clock::time_point idleSince_;
 };
 
-HttpClient::HttpClient(asio::io_context& context, std::string address, std::uint64_t maxBodyBytes)
+HttpClient::HttpClient(asio::io_context& context, std::string address, std::uint64_t maxBodyBytes, Duration maxIdle)
     : context_(context)
     , address_(std::move(address))
     , maxBodyBytes_(maxBodyBytes)
+    , maxIdle_(maxIdle)
 {
 }
 
 std::shared_ptr<HttpClient::Connection> HttpClient::takeIdle()
 {
-    auto limit = std::chrono::steady_clock::now() - maxIdle;
+    auto limit = std::chrono::steady_clock::now() - maxIdle_;
     while (!idle_.empty()) {
         auto connection = std::move(idle_.back());
         idle_.pop_back();
--- a/Lagoonpick/Transport/HttpClient.h
+++ b/Lagoonpick/Transport/HttpClient.h
@@ -32,6 +32,7 @@
     std::string contentType_ { "application/json" };
     std::string idempotencyKey_;
     std::string body_;
+    std::vector<HttpHeader> headers_ {};
 };
 
 /// An HTTP/1.1 client of one server. Never writes a request twice, whatever fails.
@@ -39,7 +40,10 @@
 /// Keeps connections for a short while. Lives on one `io_context` that one thread runs.
 class HttpClient {
 public:
-    HttpClient(boost::asio::io_context& context, std::string address, std::uint64_t maxBodyBytes);
+    /// Well below any server's own idle timeout, so that a kept connection is hardly ever closed under a request.
+    static constexpr Duration defaultMaxIdle = std::chrono::milliseconds(500);
+
+    HttpClient(boost::asio::io_context& context, std::string address, std::uint64_t maxBodyBytes, Duration maxIdle = defaultMaxIdle);
 
     /// Sends a request; ends within `timeout`.
     boost::asio::awaitable<Exchange> exchange(OutgoingRequest request, Duration timeout);
@@ -48,6 +52,9 @@
     /// `silence`, or `onLine` returns false.
     boost::asio::awaitable<void> stream(OutgoingRequest request, Duration silence, std::function<bool(std::string)> onLine);
 
+    /// Forgets the connections that are kept, as when they may have gone silent.
+    void closeIdle() { idle_.clear(); }
+
     const std::string& address() const { return address_; }
 
 private:
@@ -58,6 +65,7 @@
     boost::asio::io_context& context_;
     std::string address_;
     std::uint64_t maxBodyBytes_;
+    Duration maxIdle_;
     std::deque<std::shared_ptr<Connection>> idle_;
 };
 
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -26,9 +26,11 @@
 {
     std::string target(message.target());
     auto question = target.find('?');
-    HttpRequest request { .method_ = std::string(message.method_string()), .path_ = target.substr(0, question), .query_ = {}, .idempotencyKey_ = std::string(message["Idempotency-Key"]), .body_ = std::move(message.body()) };
+    HttpRequest request { .method_ = std::string(message.method_string()), .path_ = target.substr(0, question), .query_ = {}, .idempotencyKey_ = std::string(message["Idempotency-Key"]), .body_ = std::move(message.body()), .headers_ = {}, .presence_ = std::make_shared<CallerPresence>() };
     if (question != std::string::npos)
         request.query_ = target.substr(question + 1);
+    for (const auto& field : message)
+        request.headers_.push_back({ std::string(field.name_string()), std::string(field.value()) });
     return request;
 }
 
@@ -83,6 +85,15 @@
         onData_();
 }
 
+std::string_view findHeader(const std::vector<HttpHeader>& headers, std::string_view name)
+{
+    for (const auto& header : headers) {
+        if (beast::iequals(header.name_, name))
+            return header.value_;
+    }
+    return {};
+}
+
 std::string HttpStream::take()
 {
     return std::exchange(pending_, {});
@@ -133,14 +144,15 @@
     {
         auto self = shared_from_this();
         auto place = sessions_.insert(sessions_.end(), session);
-        while (co_await serveOne(*session)) { }
+        while (co_await serveOne(session)) { }
         beast::error_code ignored;
         session->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
         sessions_.erase(place);
     }
 
-    asio::awaitable<bool> serveOne(Session& session)
+    asio::awaitable<bool> serveOne(const std::shared_ptr<Session>& shared)
     {
+        Session& session = *shared;
         http::request_parser<http::string_body> parser;
         parser.header_limit(limits_.maxHeaderBytes_);
         parser.body_limit(limits_.maxBodyBytes_);
@@ -155,13 +167,35 @@
         session.stream_.expires_never();
         auto message = parser.release();
         bool keepAlive = message.keep_alive();
-        HttpResponse response = co_await respond(toRequest(std::move(message)));
-        keepAlive = keepAlive && !isStopping_;
+        HttpRequest request = toRequest(std::move(message));
+        auto presence = request.presence_;
+        watchPresence(shared, presence);
+        HttpResponse response = co_await respond(std::move(request));
+        presence->onGone_ = {};
+        keepAlive = keepAlive && !isStopping_ && !response.mustClose_;
         bool isWritten = !response.isDropped_ && co_await write(session, std::move(response), keepAlive);
         session.isBusy_ = false;
         co_return isWritten&& keepAlive;
     }
 
+    /// Waits for the connection to become readable while its request is handled: an end of stream or an error means
+    /// that the other side has gone.
+    void watchPresence(const std::shared_ptr<Session>& session, const std::weak_ptr<CallerPresence>& presence)
+    {
+        session->stream_.socket().async_wait(tcp::socket::wait_read, [session, presence](const beast::error_code& waitError) {
+            auto& socket = session->stream_.socket();
+            auto caller = presence.lock();
+            if (waitError == asio::error::operation_aborted || !caller || !caller->onGone_)
+                return;
+            char byte = 0;
+            beast::error_code error;
+            socket.non_blocking(true, error);
+            socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            if (error && error != asio::error::would_block)
+                std::exchange(caller->onGone_, {})();
+        });
+    }
+
     asio::awaitable<HttpResponse> respond(HttpRequest request)
     {
         co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(HttpResponse)>(
--- a/Lagoonpick/Transport/LinkHub.h
+++ b/Lagoonpick/Transport/LinkHub.h
@@ -1,75 +1,19 @@
 #pragma once
 
-#include "Lagoonpick/Core/Time.h"
+#include "Lagoonpick/Transport/MessageHub.h"
+#include "Lagoonpick/Wire/MessageCodec.h"
 #include "Lagoonpick/Wire/OutgoingMessage.h"
 
-#include <boost/asio/io_context.hpp>
-#include <cstdint>
-#include <functional>
-#include <memory>
-#include <span>
-#include <string>
-#include <vector>
-
 namespace Lagoonpick {
 
-/// What the links between processes allow.
-struct LinkLimits {
-    std::uint64_t maxFrameBytes_ { 16'777'216 };
-    /// A link whose other end reads too slowly is closed once this much waits to be written.
-    std::uint64_t maxBufferedBytes_ { 67'108'864 };
-    Duration handshakeTimeout_ { std::chrono::seconds(2) };
-    Duration minRedialDelay_ { std::chrono::milliseconds(50) };
-    Duration maxRedialDelay_ { std::chrono::seconds(2) };
-    std::uint32_t maxLinks_ { 16'384 };
-};
-
-/// What a process does about its links; called on the thread that runs the `io_context`.
-struct LinkEvents {
-    std::function<void(LinkId)> opened_;
-    std::function<void(LinkId)> closed_;
-    std::function<void(LinkId, std::vector<Wire::Message>)> received_;
+/// The frames between entries and agents of the system's own interface.
+struct LinkCodec {
+    using Message = Wire::Message;
+    static std::string encode(std::span<const Message> messages) { return Wire::encode(messages); }
+    static Outcome<std::vector<Message>> decode(const std::string& frame) { return Wire::decode(frame); }
 };
 
-/// The links to other processes: WebSocket connections that carry CBOR frames of messages.
-///
-/// Keeps a connection to every address that is wanted, with jittered, growing delays between tries, and takes
-/// connections in. A frame that can't be read closes its link. Lives on one `io_context` that one thread runs.
-class LinkHub {
-public:
-    LinkHub(boost::asio::io_context& context, LinkLimits limits, LinkEvents events, std::uint64_t seed);
-    ~LinkHub();
-    LinkHub(const LinkHub&) = delete;
-    LinkHub& operator=(const LinkHub&) = delete;
-
-    /// Takes connections on `IP:port`; returns what went wrong, or nothing.
-    std::string listen(const std::string& address);
-
-    /// Takes no further connection; those there are go on.
-    void stopAccepting();
-
-    /// Keeps one connection open to each of these addresses and to no others.
-    void want(const std::vector<std::string>& addresses);
-
-    /// Sends messages as one frame, in order, after everything sent before. Does nothing if the link is gone.
-    void send(LinkId link, std::span<const Wire::Message> messages);
-
-    /// Sends each message over its link, one frame a link, in order.
-    void send(std::vector<Wire::OutgoingMessage> messages);
-
-    /// Closes a link. No event follows for it.
-    void close(LinkId link);
-
-    /// Bytes of frames sent and received so far, without what WebSocket and TCP add.
-    std::uint64_t bytesSent() const;
-    std::uint64_t bytesReceived() const;
-
-    /// Closes everything, as at exit.
-    void closeAll();
-
-private:
-    struct State;
-    std::shared_ptr<State> state_;
-};
+using LinkEvents = MessageEvents<Wire::Message>;
+using LinkHub = MessageHub<LinkCodec>;
 
 } // namespace Lagoonpick
--- /dev/null
+++ b/Lagoonpick/Transport/MessageHub.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Lagoonpick/Core/Error.h"
+#include "Lagoonpick/Core/Underlying.h"
+#include "Lagoonpick/Transport/FrameHub.h"
+#include "Lagoonpick/Wire/Outgoing.h"
+
+#include <concepts>
+#include <span>
+#include <unordered_map>
+
+namespace Lagoonpick {
+
+/// Writes and reads frames of one kind of message.
+template <typename Codec>
+concept FrameCodec = requires(std::span<const typename Codec::Message> messages, const std::string& frame) {
+    { Codec::encode(messages) } -> std::same_as<std::string>;
+    { Codec::decode(frame) } -> std::same_as<Outcome<std::vector<typename Codec::Message>>>;
+};
+
+/// What a process does about its links; called on the thread that runs the `io_context`.
+template <typename Message>
+struct MessageEvents {
+    std::function<void(LinkId)> opened_;
+    std::function<void(LinkId)> closed_;
+    std::function<void(LinkId, std::vector<Message>)> received_;
+};
+
+/// Links that carry messages of one kind. A frame that can't be read closes its link.
+template <FrameCodec Codec>
+class MessageHub {
+public:
+    using Message = typename Codec::Message;
+    using Outgoing = Wire::Outgoing<Message>;
+
+    MessageHub(boost::asio::io_context& context, LinkLimits limits, MessageEvents<Message> events, std::uint64_t seed)
+        : received_(std::move(events.received_))
+        , frames_(context, limits, { std::move(events.opened_), std::move(events.closed_), [this](LinkId link, const std::string& frame) { return receive(link, frame); } }, seed)
+    {
+    }
+
+    std::string listen(const std::string& address) { return frames_.listen(address); }
+    void stopAccepting() { frames_.stopAccepting(); }
+    void want(const std::vector<std::string>& addresses) { frames_.want(addresses); }
+
+    /// Sends messages as one frame, in order, after everything sent before. Does nothing if the link is gone.
+    void send(LinkId link, std::span<const Message> messages) { frames_.send(link, Codec::encode(messages)); }
+
+    /// Sends each message over its link, one frame a link, in order.
+    void send(std::vector<Outgoing> messages)
+    {
+        std::unordered_map<std::uint64_t, std::vector<Message>> batches;
+        for (auto& item : messages)
+            batches[toUnderlying(item.link_)].push_back(std::move(item.message_));
+        for (const auto& [link, batch] : batches)
+            send(LinkId(link), batch);
+    }
+
+    void close(LinkId link) { frames_.close(link); }
+    void abort(LinkId link) { frames_.abort(link); }
+    std::uint64_t bytesSent() const { return frames_.bytesSent(); }
+    std::uint64_t bytesReceived() const { return frames_.bytesReceived(); }
+    void closeAll() { frames_.closeAll(); }
+
+private:
+    bool receive(LinkId link, const std::string& frame)
+    {
+        auto messages = Codec::decode(frame);
+        if (!messages)
+            return false;
+        received_(link, std::move(messages).value());
+        return true;
+    }
+
+    std::function<void(LinkId, std::vector<Message>)> received_;
+    FrameHub frames_;
+};
+
+} // namespace Lagoonpick
--- a/Lagoonpick/Wire/OutgoingMessage.h
+++ b/Lagoonpick/Wire/OutgoingMessage.h
@@ -1,15 +1,10 @@
 #pragma once
 
-#include "Lagoonpick/Core/LinkId.h"
 #include "Lagoonpick/Wire/Message.h"
+#include "Lagoonpick/Wire/Outgoing.h"
 
 namespace Lagoonpick::Wire {
 
-/// A message for the process at the other end of a link.
-struct OutgoingMessage {
-    LinkId link_;
-    Message message_;
-    bool operator==(const OutgoingMessage&) const = default;
-};
+using OutgoingMessage = Outgoing<Message>;
 
 } // namespace Lagoonpick::Wire
--- /dev/null
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -0,0 +1,91 @@
+#include "Lagoonpick/Wire/RunMessageCodec.h"
+
+#include "Lagoonpick/Wire/FrameCodec.h"
+
+namespace Lagoonpick::Wire {
+
+namespace {
+
+template <typename Value, typename Plain>
+concept Is = std::same_as<std::remove_const_t<Value>, Plain>;
+
+} // namespace
+
+template <>
+constexpr RunEnd lastOf<RunEnd>() { return RunEnd::NotStarted; }
+template <>
+constexpr NotStartedReason lastOf<NotStartedReason>() { return NotStartedReason::Unknown; }
+
+void describe(auto& archive, Is<Resources> auto& value)
+{
+    archive(value.milliCores_, value.memoryMegabytes_, value.accelerators_);
+}
+
+void describe(auto& archive, Is<EntryHello> auto& value)
+{
+    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_, value.address_);
+}
+
+void describe(auto& archive, Is<AgentHello> auto& value)
+{
+    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_);
+}
+
+void describe(auto& archive, Is<Pulse> auto& value)
+{
+    archive(value.configurationVersion_, value.endsSeen_);
+}
+
+void describe(auto& archive, Is<ConfigurationCopy> auto& value)
+{
+    archive(value.version_, value.text_);
+}
+
+void describe(auto& archive, Is<EntryAddresses> auto& value)
+{
+    archive(value.addresses_);
+}
+
+void describe(auto& archive, Is<StartRun> auto& value)
+{
+    archive(value.run_, value.task_, value.number_, value.payload_, value.need_, value.workMicroseconds_,
+        value.waitMicroseconds_, value.dueInMicroseconds_);
+}
+
+void describe(auto& archive, Is<StopRun> auto& value)
+{
+    archive(value.run_);
+}
+
+void describe(auto& archive, Is<QueryRun> auto& value)
+{
+    archive(value.run_);
+}
+
+void describe(auto& archive, Is<RunEnded> auto& value)
+{
+    archive(value.sequence_, value.run_, value.end_, value.reason_, value.tookMicroseconds_);
+}
+
+void describe(auto& archive, Is<RunStalled> auto& value)
+{
+    archive(value.run_);
+}
+
+void describe(auto& archive, Is<TargetReport> auto& value)
+{
+    archive(value.isOpen_, value.isSuspect_, value.service_, value.labels_, value.capacity_, value.used_, value.queued_,
+        value.slownessPermille_, value.typicalMicroseconds_, value.seenRun_);
+}
+
+std::string RunCodec::encode(std::span<const Message> messages)
+{
+    return encodeFrame(messages);
+}
+
+Outcome<std::vector<RunMessage>> RunCodec::decode(const std::string& frame)
+{
+    return decodeFrame<Message>(frame);
+}
+
+} // namespace Lagoonpick::Wire
--- a/Load/Scenario.cpp
+++ b/Load/Scenario.cpp
@@ -1,8 +1,6 @@
 #include "Load/Scenario.h"
 
 #include <algorithm>
-#include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/split.hpp>
 #include <cmath>
 #include <random>
 
@@ -22,14 +20,6 @@
 constexpr std::uint64_t maxTasksPerJob = 100'000;
 constexpr std::uint64_t maxMicroseconds = 3'600'000'000;
 
-std::vector<std::string> splitList(const std::string& text)
-{
-    std::vector<std::string> parts;
-    boost::algorithm::split(parts, text, boost::algorithm::is_any_of(", "), boost::algorithm::token_compress_on);
-    std::erase(parts, std::string());
-    return parts;
-}
-
 struct Slot {
     std::size_t target_;
     double freeAt_;
--- /dev/null
+++ b/RunAgent/RunAgentHost.cpp
@@ -0,0 +1,249 @@
+#include "RunAgent/RunAgentHost.h"
+
+#include "Lagoonpick/Configuration/LoadSettings.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// A process that stood still for so long may act on news that is too old. Less than the time after which the runs of a
+/// silent entry are stopped.
+constexpr Duration maxGap = std::chrono::milliseconds(400);
+constexpr std::size_t maxLogBytes = 65'536;
+constexpr Duration storeTimeout = std::chrono::milliseconds(700);
+constexpr Duration reloadCheckInterval = std::chrono::seconds(1);
+/// Longer than the pauses between a target's starts, so that connections are not opened anew for each.
+constexpr Duration maxTargetIdle = std::chrono::seconds(10);
+/// A start takes a few milliseconds; one that takes so long was most likely not taken.
+constexpr Duration startTimeout = std::chrono::milliseconds(80);
+constexpr std::uint64_t maxTargetBodyBytes = 4'194'304;
+
+HttpLimits controlLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections_ = 64;
+    limits.maxBodyBytes_ = 4'194'304;
+    return limits;
+}
+
+LinkLimits linkLimits()
+{
+    LinkLimits limits;
+    limits.maxLinks_ = 2000;
+    limits.maxBufferedBytes_ = 4'194'304;
+    limits.maxRedialDelay_ = std::chrono::milliseconds(500);
+    limits.handshakeTimeout_ = std::chrono::milliseconds(500);
+    return limits;
+}
+
+} // namespace
+
+RunAgentHost::RunAgentHost(boost::asio::io_context& context, RunAgentSettings settings, std::string settingsFile, std::uint64_t seed)
+    : context_(context)
+    , settings_(std::move(settings))
+    , settingsFile_(std::move(settingsFile))
+    , gaps_(maxGap)
+    , log_(settings_.run_.name_, maxLogBytes)
+    , core_(settings_.run_)
+    , links_(context, linkLimits(),
+          { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
+              [this](LinkId link, std::vector<Wire::RunMessage> messages) {
+                  Time now = enter();
+                  for (const auto& message : messages)
+                      core_.receive(link, message, now);
+                  loop_.schedule();
+              } },
+          seed)
+    , control_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleControl(request, respond); })
+    , metrics_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
+    , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdle)
+    , store_(context, settings_.storeAddress_, storeTimeout)
+    , entries_(context, store_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
+    , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
+{
+}
+
+std::string RunAgentHost::start()
+{
+    enter();
+    settingsText_ = readFile(settingsFile_).value_or("");
+    log(LogLine("started").text("availability_zone", settings_.run_.availabilityZone_).text("incarnation", settings_.run_.incarnation_.toString()).number("fencing_token", settings_.run_.fencingToken_));
+    auto fault = control_.listen(settings_.controlAddress_);
+    if (fault.empty())
+        fault = metrics_.listen(settings_.metricsAddress_);
+    if (!fault.empty()) {
+        log(LogLine("start_failed").text("error", fault));
+        log_.flush();
+        return fault;
+    }
+    entries_.start();
+    wantEntries();
+    loop_.start();
+    return {};
+}
+
+Time RunAgentHost::enter()
+{
+    Time now = clock_.now();
+    if (auto gap = gaps_.check(now)) {
+        core_.resume(*gap, now);
+        target_.closeIdle();
+    }
+    return now;
+}
+
+void RunAgentHost::handleControl(const HttpRequest& request, const HttpServer::Respond& respond)
+{
+    constexpr std::uint32_t statusBadRequest = 400;
+    constexpr std::uint32_t statusNotFound = 404;
+    constexpr std::uint32_t statusUnavailable = 503;
+    Time now = enter();
+    loop_.schedule();
+    auto notice = UsersPlatform::decodeNotice(request);
+    if (!notice) {
+        respond({ .status_ = statusNotFound, .body_ = "{}", .stream_ = {} });
+        return;
+    }
+    if (notice->isDeparture_) {
+        core_.depart(notice->id_, now);
+        respond({ .body_ = "{}", .stream_ = {} });
+        return;
+    }
+    auto heartbeat = UsersPlatform::decodeHeartbeat(notice->id_, request.body_);
+    if (!heartbeat) {
+        log(LogLine("heartbeat_unreadable").text("target", notice->id_).text("error", heartbeat.error().message_));
+        respond({ .status_ = statusBadRequest, .body_ = "{}", .stream_ = {} });
+        return;
+    }
+    bool isNoted = core_.receive(heartbeat.value(), now);
+    respond({ .status_ = isNoted ? 200U : statusUnavailable, .body_ = "{}", .stream_ = {} });
+}
+
+void RunAgentHost::handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const
+{
+    bool wantsState = request.path_ == "/state";
+    respond({ .contentType_ = wantsState ? "application/json" : "text/plain; version=0.0.4",
+        .body_ = wantsState ? dumpState() : writeRunAgentMetrics(core_, startTimes_, log_, store_),
+        .stream_ = {} });
+}
+
+boost::asio::awaitable<void> RunAgentHost::startRun(TargetStart start)
+{
+    Time sentAt = clock_.now();
+    Exchange exchange = co_await target_.exchange(UsersPlatform::encode(start), startTimeout);
+    Time now = enter();
+    startTimes_.add(now - sentAt);
+    core_.receiveStartReply(UsersPlatform::decodeCallReply(start.call_, exchange), now);
+    loop_.schedule();
+}
+
+boost::asio::awaitable<void> RunAgentHost::stopRun(TargetStop stop)
+{
+    Exchange exchange = co_await target_.exchange(UsersPlatform::encode(stop), startTimeout);
+    core_.receiveStopReply(UsersPlatform::decodeCallReply(stop.call_, exchange), enter());
+    loop_.schedule();
+}
+
+boost::asio::awaitable<void> RunAgentHost::renewLease(LeaseCall call)
+{
+    Exchange exchange = co_await target_.exchange(UsersPlatform::encode(call), call.wait_ + settings_.run_.answerTimeout_);
+    Time now = enter();
+    // Connections to a target that does not answer may be dead, all of them.
+    if (exchange.stage_ != ExchangeStage::Answered)
+        target_.closeIdle();
+    core_.receive(UsersPlatform::decodeLeaseReply(call.call_, exchange), now);
+    loop_.schedule();
+}
+
+void RunAgentHost::tick()
+{
+    Time now = enter();
+    core_.tick(now);
+    applyEffects();
+    if (now >= nextReloadCheck_) {
+        nextReloadCheck_ = now + reloadCheckInterval;
+        reload();
+    }
+    if (shutdownAt_)
+        continueShutdown(now);
+    log_.flush();
+}
+
+void RunAgentHost::applyEffects()
+{
+    RunEffects effects = core_.takeEffects();
+    Time now = clock_.now();
+    for (const auto& line : effects.log_)
+        log_.write(now, line);
+    for (LinkId link : effects.linksToAbort_)
+        links_.abort(link);
+    links_.send(std::move(effects.messages_));
+    for (auto& call : effects.leases_)
+        boost::asio::co_spawn(context_, renewLease(std::move(call)), boost::asio::detached);
+    for (auto& stop : effects.stops_)
+        boost::asio::co_spawn(context_, stopRun(std::move(stop)), boost::asio::detached);
+    for (auto& start : effects.starts_)
+        boost::asio::co_spawn(context_, startRun(std::move(start)), boost::asio::detached);
+}
+
+void RunAgentHost::wantEntries()
+{
+    entries_.add(core_.toldEntries());
+    auto addresses = entries_.addresses();
+    for (const auto& seed : settings_.seeds_) {
+        auto address = onHostOf(seed, settings_.entryLinkAddress_);
+        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+            addresses.push_back(address);
+    }
+    links_.want(addresses);
+}
+
+void RunAgentHost::reload()
+{
+    wantEntries();
+    auto text = readFile(settingsFile_);
+    if (!text || *text == settingsText_)
+        return;
+    settingsText_ = *text;
+    auto settings = readSettingsFile(settingsFile_, readRunAgentSettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); });
+    if (!settings)
+        return;
+    // Addresses and times hold for the life of the process; only where to find entries can change within it.
+    settings_.seeds_ = settings->seeds_;
+    log(LogLine("settings_reloaded").number("seeds", settings_.seeds_.size()));
+}
+
+void RunAgentHost::beginShutdown()
+{
+    if (shutdownAt_)
+        return;
+    shutdownAt_ = enter();
+    log(LogLine("stopping").number("runs", core_.runCount()));
+    core_.beginShutdown(*shutdownAt_);
+    loop_.schedule();
+}
+
+void RunAgentHost::continueShutdown(Time now)
+{
+    /// For the ends of the last runs to reach the entries.
+    constexpr Duration lastWords = std::chrono::milliseconds(100);
+    bool isOver = now - *shutdownAt_ >= settings_.shutdownTimeout_;
+    if (!isOver && (!core_.isIdle() || now - *shutdownAt_ < lastWords))
+        return;
+    log(LogLine("stopped").milliseconds("after_ms", now - *shutdownAt_).number("runs", core_.runCount()));
+    log_.flush();
+    loop_.stop();
+    context_.stop();
+}
+
+std::string RunAgentHost::dumpState() const
+{
+    const TargetHeartbeat& heartbeat = core_.target().heartbeat();
+    return fmt::format("{{\"agent\":\"{}\",\"target\":\"{}\",\"born_ms\":{},\"draining\":{},\"runs\":{},\"configuration\":{}}}", settings_.run_.name_, heartbeat.incarnation_.id_, heartbeat.incarnation_.bornAt_, heartbeat.isDraining_, core_.runCount(), core_.configurationVersion());
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/RunAgent/RunAgentHost.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Lagoonpick/Configuration/CommandLine.h"
+#include "Lagoonpick/Core/BootTime.h"
+#include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Observability/TimeHistogram.h"
+#include "Lagoonpick/Run/RunCore.h"
+#include "Lagoonpick/Transport/GapDetector.h"
+#include "Lagoonpick/Transport/HostLoop.h"
+#include "Lagoonpick/Transport/HttpServer.h"
+#include "Lagoonpick/Transport/MessageHub.h"
+#include "Lagoonpick/Wire/RunMessageCodec.h"
+#include "RunAgent/EntryDirectory.h"
+#include "RunAgent/RunAgentSettings.h"
+#include "platform/TargetCodec.h"
+
+namespace Lagoonpick {
+
+/// Connects a `RunCore` to the world: entries, the target beside it, the platform's store, signals and the clock.
+///
+/// Lives on one `io_context` that one thread runs.
+class RunAgentHost {
+public:
+    RunAgentHost(boost::asio::io_context& context, RunAgentSettings settings, std::string settingsFile, std::uint64_t seed);
+
+    /// Starts everything; returns what went wrong, or nothing.
+    std::string start();
+
+    ExitCode exitCode() const { return exitCode_; }
+
+private:
+    /// Every input goes through here first: what time it is, and whether the process stood still before it.
+    Time enter();
+    void handleControl(const HttpRequest& request, const HttpServer::Respond& respond);
+    void handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const;
+    boost::asio::awaitable<void> startRun(TargetStart start);
+    boost::asio::awaitable<void> stopRun(TargetStop stop);
+    boost::asio::awaitable<void> renewLease(LeaseCall call);
+    void tick();
+    void applyEffects();
+    void wantEntries();
+    void reload();
+    void beginShutdown();
+    void continueShutdown(Time now);
+    std::string dumpState() const;
+    void log(const LogLine& line) { log_.write(clock_.now(), line); }
+
+    boost::asio::io_context& context_;
+    RunAgentSettings settings_;
+    std::string settingsFile_;
+    std::string settingsText_;
+    BootTime clock_;
+    GapDetector gaps_;
+    EventLog log_;
+    RunCore core_;
+    MessageHub<Wire::RunCodec> links_;
+    HttpServer control_;
+    HttpServer metrics_;
+    HttpClient target_;
+    UsersPlatform::StoreClient store_;
+    EntryDirectory entries_;
+    HostLoop loop_;
+    TimeHistogram startTimes_;
+    Time nextReloadCheck_;
+    std::optional<Time> shutdownAt_;
+    ExitCode exitCode_ { ExitCode::Success };
+};
+
+/// The agent's counters and histograms, in the Prometheus text format.
+std::string writeRunAgentMetrics(const RunCore& core, const TimeHistogram& startTimes, const EventLog& log, const UsersPlatform::StoreClient& store);
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -0,0 +1,34 @@
+#include "Lagoonpick/Observability/TimeHistogram.h"
+#include "RunAgent/RunAgentHost.h"
+
+namespace Lagoonpick {
+
+std::string writeRunAgentMetrics(const RunCore& core, const TimeHistogram& startTimes, const EventLog& log, const UsersPlatform::StoreClient& store)
+{
+    const RunCounters& counters = core.counters();
+    std::string text;
+    writeMetricHead(text, "lagoonpick_run_ends_total", "counter", "Runs by how they ended.");
+    writeMetric(text, "lagoonpick_run_ends_total", "end=\"done\"", static_cast<double>(counters.done_));
+    writeMetric(text, "lagoonpick_run_ends_total", "end=\"failed\"", static_cast<double>(counters.failed_));
+    writeMetric(text, "lagoonpick_run_ends_total", "end=\"stopped\"", static_cast<double>(counters.stopped_));
+    writeMetric(text, "lagoonpick_run_ends_total", "end=\"lost\"", static_cast<double>(counters.lost_));
+    writeMetric(text, "lagoonpick_run_ends_total", "end=\"not_started\"", static_cast<double>(counters.notStarted_));
+    writeMetricHead(text, "lagoonpick_starts_total", "counter", "Runs that the target has begun.");
+    writeMetric(text, "lagoonpick_starts_total", "", static_cast<double>(counters.started_));
+    writeMetricHead(text, "lagoonpick_starts_without_room_total", "counter", "Starts that the target rejected as full.");
+    writeMetric(text, "lagoonpick_starts_without_room_total", "", static_cast<double>(counters.startsWithoutRoom_));
+    writeMetricHead(text, "lagoonpick_starts_unanswered_total", "counter", "Starts that the target did not answer in time.");
+    writeMetric(text, "lagoonpick_starts_unanswered_total", "", static_cast<double>(counters.startsUnanswered_));
+    writeMetricHead(text, "lagoonpick_lease_answers_missed_total", "counter", "Lease renewals without an answer.");
+    writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
+    writeMetricHead(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
+    writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
+    writeMetricHead(text, "lagoonpick_store_calls_total", "counter", "Calls to the platform's store.");
+    writeMetric(text, "lagoonpick_store_calls_total", "", static_cast<double>(store.calls()));
+    writeMetricHead(text, "lagoonpick_log_lines_dropped_total", "counter", "Log lines that did not fit the buffer.");
+    writeMetric(text, "lagoonpick_log_lines_dropped_total", "", static_cast<double>(log.linesDropped()));
+    startTimes.write(text, "lagoonpick_start_seconds", "From a start's sending to the target's answer.");
+    return text;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/RunAgent/RunAgentSettings.cpp
@@ -0,0 +1,28 @@
+#include "RunAgent/RunAgentSettings.h"
+
+#include "Lagoonpick/Configuration/RunTimesReader.h"
+
+namespace Lagoonpick {
+
+RunAgentSettings readRunAgentSettings(SettingsReader& reader)
+{
+    RunAgentSettings settings;
+    settings.run_.name_ = reader.text("agent", "name");
+    settings.run_.availabilityZone_ = reader.text("agent", "availability_zone");
+    settings.controlAddress_ = reader.address("agent", "control_address");
+    settings.metricsAddress_ = reader.address("agent", "metrics_address");
+    settings.entryLinkAddress_ = reader.address("agent", "entry_link_address");
+    settings.seeds_ = splitList(reader.text("agent", "seeds", "-"));
+    settings.targetAddress_ = reader.address("target", "address");
+    settings.storeAddress_ = reader.address("store", "address");
+    settings.run_.times_ = readRunTimes(reader);
+    settings.run_.renewalWait_ = settings.run_.times_.lease_ / 5;
+    settings.run_.answerTimeout_ = settings.run_.times_.lease_ / 5;
+    // What runs may end in most of the grace; the rest is for the last reports to go out.
+    constexpr double shareOfGrace = 0.85;
+    double grace = reader.decimal("times", "shutdown_grace_s", 6, 0.1, 600);
+    settings.shutdownTimeout_ = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(grace * shareOfGrace));
+    return settings;
+}
+
+} // namespace Lagoonpick
