Histories in virtual time of entries, agents and targets with every fault; a restarted target no longer loses what its new life runs

Cause: a start that was under way when a target began anew under its id reached the new life; the agent declared all runs lost on hearing of the new birth, and the entry started them elsewhere. Ruled out: the lease (the run was 3 ms old). Change: what a new life runs is judged by its lists. Besides, a run that was never sent to a target does not use up its number.

--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -241,7 +241,13 @@
     send(*agent.link_,
         Wire::StartRun { .run_ = task.run_,
             // One step, one occurrence.
-            .task_ = job.request_.id_ + ".0.0." + std::to_string(index), .number_ = task.number_, .payload_ = job.request_.payload_, .need_ = job.request_.need_, .workMicroseconds_ = static_cast<std::uint64_t>(work.count()), .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = (job.due_ - now - run).count() });
+            .task_ = job.request_.id_ + ".0.0." + std::to_string(index),
+            .number_ = task.number_,
+            .payload_ = job.request_.payload_,
+            .need_ = job.request_.need_,
+            .workMicroseconds_ = static_cast<std::uint64_t>(work.count()),
+            .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()),
+            .dueInMicroseconds_ = (job.due_ - now - run).count() });
 }
 
 void JobCore::endRun(std::uint64_t run, RunEnd end, NotStartedReason reason, Time now)
@@ -274,10 +280,13 @@
         answer(place.job_, JobVerdict::Failed, JobRefusal::None, now);
         return;
     }
+    bool wasSent = reason != NotStartedReason::NoRoom && reason != NotStartedReason::Draining;
     if (reason == NotStartedReason::OldNumber)
         task.number_ += numberStep;
     else
         task.avoided_.insert(task.agent_);
+    if (!wasSent)
+        --task.number_;
     log(LogLine("task_returned").text("job", job.request_.id_).number("task", place.task_).number("number", task.number_).text("end", nameOf(end)).number("reason", toUnderlying(reason)).number("failures", task.failures_));
     retry(place.job_, place.task_, now);
 }
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Lagoonpick/Job/JobRequest.h"
 #include "Lagoonpick/Core/Incarnation.h"
+#include "Lagoonpick/Job/JobRequest.h"
 
 #include <map>
 #include <set>
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -150,9 +150,7 @@
     markReportsDue();
     if (runs_.findOfEntry(entry, message.run_))
         return;
-    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_,
-        .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)),
-        .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_) };
+    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_, .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)), .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_) };
     NotStartedReason reason = NotStartedReason::None;
     if (isClosing_ || target_.heartbeat().isDraining_)
         reason = NotStartedReason::Draining;
@@ -189,15 +187,17 @@
 bool RunCore::receive(const TargetHeartbeat& heartbeat, Time now)
 {
     bool wasDraining = target_.heartbeat().isDraining_;
+    std::string formerId = target_.incarnation().id_;
     auto change = target_.update(heartbeat);
     if (change == TargetState::Change::None)
         return true;
     if (change == TargetState::Change::NewIncarnation) {
+        bool isRestart = formerId == heartbeat.incarnation_.id_;
         log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.bornAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
-        loseAll("target_replaced", now);
-        orphans_.clear();
-        endsSeen_ = 0;
-        hasLeaseAnswer_ = false;
+        // Calls name the id that they are meant for: none can have reached another one.
+        if (!isRestart)
+            loseAll("target_replaced", now);
+        noteRestart();
         isLeaseLost_ = false;
         leaseAnsweredAt_ = now;
         pendingLeases_.clear();
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -104,6 +104,7 @@
     void stopRunsOf(Incarnation entry, std::string_view why, Time now);
 
     void renewLease(Time now);
+    void noteRestart();
     void noteEnds(const LeaseReply& reply, Time now);
     void noteRunning(const LeaseReply& reply, Time sentAt, Time now);
     void stopOrphan(const RunName& name, Time now);
--- a/Lagoonpick/Run/RunCoreLease.cpp
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -65,14 +65,8 @@
         renewAt_ = now + renewalPause;
         return;
     }
-    if (target_.updateBirth(reply.bornAt_)) {
-        log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", reply.bornAt_));
-        loseAll("target_restarted", now);
-        orphans_.clear();
-        endsSeen_ = 0;
-        hasLeaseAnswer_ = false;
-        markReportsDue();
-    }
+    if (target_.updateBirth(reply.bornAt_))
+        noteRestart();
     if (isLeaseLost_) {
         log(LogLine("target_regained").text("target", target_.incarnation().id_));
         isLeaseLost_ = false;
@@ -93,6 +87,17 @@
         renewAt_ = now + renewalPause;
 }
 
+/// The target began anew under its id. What it runs now is told by its lists: a start that was under way may have
+/// reached the new life, so what is not listed counts as lost only by the rule for every list.
+void RunCore::noteRestart()
+{
+    log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", target_.incarnation().bornAt_));
+    orphans_.clear();
+    endsSeen_ = 0;
+    hasLeaseAnswer_ = false;
+    markReportsDue();
+}
+
 void RunCore::noteEnds(const LeaseReply& reply, Time now)
 {
     for (const auto& row : reply.ended_) {
--- a/Lagoonpick/Transport/FrameHub.h
+++ b/Lagoonpick/Transport/FrameHub.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Lagoonpick/Core/Time.h"
 #include "Lagoonpick/Core/LinkId.h"
+#include "Lagoonpick/Core/Time.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
--- a/Lagoonpick/Transport/MessageHub.h
+++ b/Lagoonpick/Transport/MessageHub.h
@@ -13,9 +13,14 @@
 
 /// Writes and reads frames of one kind of message.
 template <typename Codec>
-concept FrameCodec = requires(std::span<const typename Codec::Message> messages, const std::string& frame) {
-    { Codec::encode(messages) } -> std::same_as<std::string>;
-    { Codec::decode(frame) } -> std::same_as<Outcome<std::vector<typename Codec::Message>>>;
+concept FrameCodec = requires(std::span<const typename Codec::Message> messages, const std::string& frame)
+{
+    {
+        Codec::encode(messages)
+        } -> std::same_as<std::string>;
+    {
+        Codec::decode(frame)
+        } -> std::same_as<Outcome<std::vector<typename Codec::Message>>>;
 };
 
 /// What a process does about its links; called on the thread that runs the `io_context`.
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -62,7 +62,8 @@
     , metrics_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdle)
     , store_(context, settings_.storeAddress_, storeTimeout)
-    , entries_(context, store_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
+    , entries_(
+          context, store_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
 }
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -10,9 +10,9 @@
 #include "Lagoonpick/Transport/HttpServer.h"
 #include "Lagoonpick/Transport/MessageHub.h"
 #include "Lagoonpick/Wire/RunMessageCodec.h"
+#include "platform/TargetCodec.h"
 #include "RunAgent/EntryDirectory.h"
 #include "RunAgent/RunAgentSettings.h"
-#include "platform/TargetCodec.h"
 
 namespace Lagoonpick {
 
--- /dev/null
+++ b/UnitTests/Runs/FakeRunTarget.cpp
@@ -0,0 +1,135 @@
+#include "UnitTests/Runs/FakeRunTarget.h"
+
+#include <utility>
+
+namespace Lagoonpick {
+
+using Wire::RunEnd;
+
+namespace {
+
+constexpr std::int64_t maxLeaseMs = 1000;
+
+} // namespace
+
+FakeRunTarget::FakeRunTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks)
+    : id_(std::move(id))
+    , capacity_(capacity)
+    , clockRate_(clockRate)
+    , hooks_(std::move(hooks))
+{
+}
+
+std::int64_t FakeRunTarget::clock(Time now) const
+{
+    double milliseconds = std::chrono::duration<double, std::milli>(now - bornAt_).count();
+    return static_cast<std::int64_t>(milliseconds * clockRate_);
+}
+
+void FakeRunTarget::advance(Time now)
+{
+    std::vector<std::pair<RunName, RunEnd>> over;
+    bool isLeaseOver = clock(now) > leaseUntil_;
+    for (const auto& [name, run] : running_) {
+        if (run.endsAt_ <= now)
+            over.emplace_back(name, run.fails_ || isFailing_ ? RunEnd::Failed : RunEnd::Done);
+        else if (isLeaseOver)
+            over.emplace_back(name, RunEnd::Stopped);
+    }
+    for (const auto& [name, end] : over)
+        finish(name, end);
+}
+
+void FakeRunTarget::finish(const RunName& name, RunEnd end)
+{
+    running_.erase(name);
+    ended_.push_back({ ++lastEnd_, name, end });
+    hooks_.ended_(name, end);
+}
+
+CallReply FakeRunTarget::receive(const TargetStart& start, Time now, bool isLate)
+{
+    advance(now);
+    CallReply reply { start.call_, TargetAnswer::Accepted, clock(now) };
+    auto highest = highest_.find(start.name_.task_);
+    Wire::Resources used;
+    for (const auto& [name, run] : running_)
+        used = used + (run.isLate_ ? Wire::Resources() : run.need_);
+    Running run = hooks_.describe_(start.name_);
+    if (start.fencingToken_ < fencingToken_)
+        reply.answer_ = TargetAnswer::Fenced;
+    else if (running_.contains(start.name_))
+        reply.answer_ = TargetAnswer::Accepted;
+    else if (start.leaseUntil_ < clock(now))
+        reply.answer_ = TargetAnswer::Late;
+    else if (highest != highest_.end() && highest->second >= start.name_.number_)
+        reply.answer_ = TargetAnswer::OldNumber;
+    else {
+        fencingToken_ = start.fencingToken_;
+        leaseUntil_ = std::max(leaseUntil_, std::min(start.leaseUntil_, clock(now) + maxLeaseMs));
+        wasOverfilled_ = wasOverfilled_ || (!isLate && !hasRoom(capacity_, used, run.need_));
+        highest_[start.name_.task_] = start.name_.number_;
+        run.endsAt_ = now + (run.endsAt_ - Time());
+        run.isLate_ = isLate;
+        running_[start.name_] = run;
+        hooks_.began_(start.name_);
+    }
+    return reply;
+}
+
+CallReply FakeRunTarget::receive(const TargetStop& stop, Time now)
+{
+    advance(now);
+    CallReply reply { stop.call_, TargetAnswer::Accepted, clock(now) };
+    if (stop.fencingToken_ < fencingToken_) {
+        reply.answer_ = TargetAnswer::Fenced;
+        return reply;
+    }
+    fencingToken_ = stop.fencingToken_;
+    auto& highest = highest_[stop.name_.task_];
+    highest = std::max(highest, stop.name_.number_);
+    if (running_.contains(stop.name_))
+        finish(stop.name_, RunEnd::Stopped);
+    return reply;
+}
+
+LeaseReply FakeRunTarget::receive(const LeaseCall& call, Time now)
+{
+    advance(now);
+    LeaseReply reply { .call_ = call.call_, .answer_ = TargetAnswer::Accepted, .clock_ = clock(now), .bornAt_ = bornCount_, .running_ = {}, .ended_ = {} };
+    if (call.fencingToken_ < fencingToken_) {
+        reply.answer_ = TargetAnswer::Fenced;
+        return reply;
+    }
+    fencingToken_ = call.fencingToken_;
+    if (call.leaseUntil_)
+        leaseUntil_ = std::max(leaseUntil_, std::min(*call.leaseUntil_, clock(now) + maxLeaseMs));
+    std::erase_if(ended_, [&](const EndedRow& row) { return row.number_ <= call.endsSeen_; });
+    for (const auto& [name, run] : running_)
+        reply.running_.push_back({ name, 0 });
+    reply.ended_ = ended_;
+    return reply;
+}
+
+void FakeRunTarget::restart(Time now)
+{
+    auto lost = std::exchange(running_, {});
+    for (const auto& [name, run] : lost)
+        hooks_.ended_(name, RunEnd::Lost);
+    bornAt_ = now;
+    ++bornCount_;
+    sequence_ = 0;
+    fencingToken_ = 0;
+    leaseUntil_ = 0;
+    lastEnd_ = 0;
+    isDraining_ = false;
+    highest_.clear();
+    ended_.clear();
+}
+
+TargetHeartbeat FakeRunTarget::heartbeat()
+{
+    return { .incarnation_ = { id_, bornCount_ }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = { "kind" }, .capacity_ = capacity_, .isDraining_ = isDraining_ };
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -0,0 +1,62 @@
+#include "UnitTests/Runs/RunWorld.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// How many seeds a row of the table gets.
+std::uint64_t seedCount()
+{
+    const char* text = std::getenv("RUN_HISTORY_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : 12;
+}
+
+std::uint64_t firstSeed()
+{
+    const char* text = std::getenv("RUN_HISTORY_FIRST_SEED");
+    return text ? std::strtoull(text, nullptr, 10) : 1;
+}
+
+} // namespace
+
+TEST_CASE("No fault makes two runs of a task overlap, overfills a target, or makes an answer untrue")
+{
+    auto faults = GENERATE(values<RunFaults>({
+        { .name_ = "none" },
+        { .name_ = "overload", .load_ = 1.6 },
+        { .name_ = "agents are killed", .agentKill_ = 0.02 },
+        { .name_ = "agents are killed, clocks step back", .agentKill_ = 0.02, .clockBack_ = 0.2 },
+        { .name_ = "entries are killed", .entryKill_ = 0.02 },
+        { .name_ = "entries freeze", .entryFreeze_ = 0.02 },
+        { .name_ = "agents freeze", .agentFreeze_ = 0.02 },
+        { .name_ = "links are reset", .linkReset_ = 0.05 },
+        { .name_ = "links are cut", .linkCut_ = 0.02 },
+        { .name_ = "targets restart", .targetRestart_ = 0.01 },
+        { .name_ = "targets are cut off", .targetCut_ = 0.02 },
+        { .name_ = "targets drain", .agentKill_ = 0.01, .targetRestart_ = 0.01, .drain_ = 0.01 },
+        { .name_ = "orders are carried out late", .appliedLate_ = 0.05 },
+        { .name_ = "answers are lost", .answerLost_ = 0.05 },
+        { .name_ = "targets fail", .failing_ = 0.05 },
+        { .name_ = "callers leave", .giveUp_ = 0.4, .load_ = 1 },
+        { .name_ = "everything", .agentKill_ = 0.005, .entryKill_ = 0.005, .entryFreeze_ = 0.005, .agentFreeze_ = 0.005, .linkReset_ = 0.01, .linkCut_ = 0.005, .targetRestart_ = 0.003, .targetCut_ = 0.005, .drain_ = 0.002, .clockBack_ = 0.05, .appliedLate_ = 0.02, .answerLost_ = 0.02, .failing_ = 0.01, .giveUp_ = 0.1, .load_ = 0.9 },
+    }));
+    if (const char* row = std::getenv("RUN_HISTORY_ROW"); row && row != faults.name_)
+        return;
+    std::uint64_t done = 0;
+    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+        RunWorld world(faults, seed);
+        world.run(std::chrono::seconds(30));
+        INFO(faults.name_ << ", seed " << seed << ", " << world.jobsDone() << " of " << world.jobsSent() << " jobs done");
+        for (const auto& text : world.breaks())
+            UNSCOPED_INFO(text);
+        REQUIRE(world.breaks().empty());
+        done += world.jobsDone();
+    }
+    INFO(faults.name_);
+    CHECK(done > 0);
+}
+
+} // namespace Lagoonpick
