--- /dev/null
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -0,0 +1,376 @@
+#include "Lagoonpick/Run/RunCore.h"
+
+#include <catch2/catch.hpp>
+
+namespace Lagoonpick {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Wire::NotStartedReason;
+using Wire::RunEnd;
+
+constexpr LinkId link { 1 };
+
+/// An agent with one entry and one target, driven by hand.
+class AgentAtWork {
+public:
+    AgentAtWork()
+        : core_(RunSettings { .name_ = "agent", .incarnation_ = Incarnation(7), .fencingToken_ = 100 })
+    {
+        attach(link, Incarnation(1));
+        beat();
+        answerLease({});
+        collect();
+    }
+
+    void attach(LinkId on, Incarnation entry)
+    {
+        core_.opened(on, now_);
+        core_.receive(on, Wire::EntryHello { .incarnation_ = entry, .name_ = "entry", .address_ = "10.0.0.1:1" }, now_);
+    }
+
+    void beat(bool isDraining = false, std::uint64_t bornAt = 1, const std::string& id = "target")
+    {
+        core_.receive(TargetHeartbeat { .incarnation_ = { id, bornAt }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = {}, .capacity_ = { 2000, 1000, 0 }, .isDraining_ = isDraining }, now_);
+        collect();
+    }
+
+    /// Answers the lease call that is under way.
+    void answerLease(LeaseReply reply)
+    {
+        reply.call_ = leases_.back().call_;
+        reply.clock_ = 1000;
+        reply.bornAt_ = reply.bornAt_ ? reply.bornAt_ : 1;
+        if (reply.answer_ == TargetAnswer::NoAnswer)
+            reply.answer_ = TargetAnswer::Accepted;
+        core_.receive(reply, now_);
+        collect();
+    }
+
+    void startRun(std::uint64_t run, Duration wait = milliseconds(100), std::uint32_t milliCores = 1000, Duration due = milliseconds(100))
+    {
+        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = 1000, .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count() }, now_);
+        pass({});
+    }
+
+    void reply(std::size_t start, TargetAnswer answer)
+    {
+        core_.receiveStartReply({ starts_.at(start).call_, answer, 1000 }, now_);
+        pass({});
+    }
+
+    void pass(Duration span)
+    {
+        now_ += span;
+        core_.tick(now_);
+        collect();
+    }
+
+    /// Keeps the entry's link alive while time passes.
+    void passWithPulses(Duration span)
+    {
+        for (Duration passed {}; passed < span; passed += milliseconds(100)) {
+            core_.receive(link, Wire::Pulse {}, now_);
+            pass(milliseconds(100));
+        }
+    }
+
+    std::vector<Wire::RunEnded> ends() const
+    {
+        std::vector<Wire::RunEnded> found;
+        for (const auto& item : messages_) {
+            if (const auto* ended = std::get_if<Wire::RunEnded>(&item.message_))
+                found.push_back(*ended);
+        }
+        return found;
+    }
+
+    void collect()
+    {
+        auto effects = core_.takeEffects();
+        messages_.insert(messages_.end(), effects.messages_.begin(), effects.messages_.end());
+        starts_.insert(starts_.end(), effects.starts_.begin(), effects.starts_.end());
+        stops_.insert(stops_.end(), effects.stops_.begin(), effects.stops_.end());
+        leases_.insert(leases_.end(), effects.leases_.begin(), effects.leases_.end());
+        aborted_.insert(aborted_.end(), effects.linksToAbort_.begin(), effects.linksToAbort_.end());
+    }
+
+    Time now_ { std::chrono::hours(1) };
+    RunCore core_;
+    std::uint64_t sequence_ { 0 };
+    std::vector<OutgoingRunMessage> messages_;
+    std::vector<TargetStart> starts_;
+    std::vector<TargetStop> stops_;
+    std::vector<LeaseCall> leases_;
+    std::vector<LinkId> aborted_;
+};
+
+} // namespace
+
+TEST_CASE("A run's end reaches its entry as the target tells it")
+{
+    auto [end, expected] = GENERATE(table<RunEnd, RunEnd>({ { RunEnd::Done, RunEnd::Done }, { RunEnd::Failed, RunEnd::Failed }, { RunEnd::Stopped, RunEnd::Stopped } }));
+    AgentAtWork agent;
+    agent.startRun(1);
+    REQUIRE(agent.starts_.size() == 1);
+    CHECK(agent.starts_[0].leaseUntil_ == 1700);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, end } } });
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].end_ == expected);
+    CHECK(agent.leases_.back().endsSeen_ == 1);
+    CHECK(agent.core_.isIdle());
+}
+
+TEST_CASE("What a target answers to a start decides what becomes of the run")
+{
+    struct Row {
+        TargetAnswer answer_;
+        /// Ends at once with this, if set.
+        std::optional<NotStartedReason> reason_;
+        bool isStopped_;
+        bool isSentAgain_;
+    };
+    auto row = GENERATE(values<Row>({
+        { TargetAnswer::OldNumber, NotStartedReason::OldNumber, false, false },
+        { TargetAnswer::Rejected, NotStartedReason::Rejected, false, false },
+        { TargetAnswer::Malformed, NotStartedReason::Rejected, false, false },
+        { TargetAnswer::WrongTarget, NotStartedReason::TargetUnavailable, false, false },
+        { TargetAnswer::Fenced, {}, false, true },
+        { TargetAnswer::Late, {}, false, true },
+        { TargetAnswer::NoAnswer, {}, true, false },
+    }));
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, row.answer_);
+    CHECK(agent.ends().size() == (row.reason_ ? 1 : 0));
+    if (row.reason_)
+        CHECK(agent.ends()[0].reason_ == *row.reason_);
+    CHECK(agent.stops_.size() == (row.isStopped_ ? 1 : 0));
+    CHECK(agent.starts_.size() == (row.isSentAgain_ ? 2 : 1));
+    if (row.answer_ == TargetAnswer::Fenced)
+        CHECK(agent.starts_[1].fencingToken_ > agent.starts_[0].fencingToken_);
+}
+
+TEST_CASE("A start without an answer is over only once its stop was answered and a later list lacks it")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::NoAnswer);
+    agent.answerLease({});
+    CHECK(agent.ends().empty());
+    agent.core_.receiveStopReply({ agent.stops_[0].call_, TargetAnswer::Accepted, {} }, agent.now_);
+    // Sent before the stop was answered: proves nothing.
+    agent.answerLease({});
+    CHECK(agent.ends().empty());
+    agent.now_ += milliseconds(1);
+    agent.answerLease({});
+    agent.answerLease({});
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].end_ == RunEnd::NotStarted);
+    CHECK(agent.ends()[0].reason_ == NotStartedReason::Unanswered);
+}
+
+TEST_CASE("A stop that gets no answer is sent again")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.core_.receive(link, Wire::StopRun { 1 }, agent.now_);
+    agent.collect();
+    REQUIRE(agent.stops_.size() == 1);
+    agent.pass(milliseconds(60));
+    CHECK(agent.stops_.size() == 2);
+}
+
+TEST_CASE("What does not fit waits, the earliest due first, or is returned at once, with a report before it")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.startRun(2);
+    agent.startRun(3, milliseconds(50), 1000, milliseconds(90));
+    agent.startRun(4, milliseconds(50), 1000, milliseconds(10));
+    CHECK(agent.starts_.size() == 2);
+    agent.startRun(5, Duration());
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].run_ == 5);
+    CHECK(agent.ends()[0].reason_ == NotStartedReason::NoRoom);
+    CHECK(std::holds_alternative<Wire::TargetReport>(agent.messages_[agent.messages_.size() - 2].message_));
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    agent.pass({});
+    REQUIRE(agent.starts_.size() == 3);
+    CHECK(agent.starts_[2].name_.task_ == "job.0.0.4");
+    agent.passWithPulses(milliseconds(100));
+    CHECK(agent.ends().back().run_ == 3);
+    CHECK(agent.ends().back().reason_ == NotStartedReason::NoRoom);
+}
+
+TEST_CASE("Nothing starts on a target that is not known, leaves, or was lost")
+{
+    enum class Why {
+        Draining,
+        Departed,
+        Closing,
+        Replaced,
+    };
+    auto [why, reason] = GENERATE(table<Why, NotStartedReason>({ { Why::Draining, NotStartedReason::Draining }, { Why::Departed, NotStartedReason::Draining }, { Why::Closing, NotStartedReason::Draining }, { Why::Replaced, NotStartedReason::TargetUnavailable } }));
+    AgentAtWork agent;
+    if (why == Why::Draining)
+        agent.beat(true);
+    else if (why == Why::Departed)
+        agent.core_.depart("target", agent.now_);
+    else if (why == Why::Closing)
+        agent.core_.beginShutdown(agent.now_);
+    else
+        agent.beat(false, 2, "another");
+    agent.startRun(1);
+    CHECK(agent.starts_.empty());
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].reason_ == reason);
+}
+
+TEST_CASE("The runs of an entry that falls silent are stopped, those of one that comes back in time are not")
+{
+    auto silence = GENERATE(values<int>({ 300, 600 }));
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.core_.closed(link, agent.now_);
+    agent.pass(milliseconds(silence));
+    CHECK(agent.stops_.size() == (silence > 500 ? 1 : 0));
+    agent.attach(LinkId(2), Incarnation(1));
+    agent.collect();
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    CHECK(agent.ends().size() == 1);
+}
+
+TEST_CASE("A process that stood still drops its links before it acts on what they hold")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.now_ += std::chrono::seconds(2);
+    agent.core_.resume(std::chrono::seconds(2), agent.now_);
+    agent.collect();
+    CHECK(agent.aborted_ == std::vector { link });
+    agent.startRun(2);
+    CHECK(agent.starts_.size() == 1);
+}
+
+TEST_CASE("Runs that another life of the agent left are stopped before anything starts")
+{
+    AgentAtWork agent;
+    agent.answerLease({ .running_ = { { { "old.0.0.0", 3 }, 10 } }, .ended_ = {} });
+    REQUIRE(agent.stops_.size() == 1);
+    CHECK(agent.stops_[0].name_.task_ == "old.0.0.0");
+    agent.startRun(1);
+    CHECK(agent.starts_.empty());
+    CHECK(agent.ends().back().reason_ == NotStartedReason::TargetUnavailable);
+    agent.pass(milliseconds(30));
+    CHECK_FALSE(agent.leases_.back().leaseUntil_);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "old.0.0.0", 3 }, RunEnd::Stopped } } });
+    agent.startRun(2);
+    CHECK(agent.starts_.size() == 1);
+}
+
+TEST_CASE("A target that does not answer is left to its lease's end, then its runs are lost")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    for (int i = 0; i < 3; ++i) {
+        agent.passWithPulses(milliseconds(300));
+        agent.core_.receive(LeaseReply { .call_ = agent.leases_.back().call_, .answer_ = TargetAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, agent.now_);
+        agent.passWithPulses(milliseconds(100));
+    }
+    CHECK_FALSE(agent.leases_.back().leaseUntil_);
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].end_ == RunEnd::Lost);
+}
+
+TEST_CASE("A start that reached a target's new life is not lost with the old one")
+{
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.answerLease({ .bornAt_ = 2, .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
+    CHECK(agent.ends().empty());
+    CHECK(agent.stops_.empty());
+}
+
+TEST_CASE("Ends that an entry has not confirmed are told again on its next link, confirmed ones are not")
+{
+    auto isConfirmed = GENERATE(false, true);
+    AgentAtWork agent;
+    agent.startRun(1);
+    agent.reply(0, TargetAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    if (isConfirmed)
+        agent.core_.receive(link, Wire::Pulse { .endsSeen_ = 1 }, agent.now_);
+    agent.attach(LinkId(2), Incarnation(1));
+    agent.collect();
+    CHECK(agent.ends().size() == (isConfirmed ? 1 : 2));
+    CHECK(agent.aborted_ == std::vector { link });
+}
+
+TEST_CASE("An agent that does not know a run says so, and never starts it")
+{
+    AgentAtWork agent;
+    agent.core_.receive(link, Wire::QueryRun { 9 }, agent.now_);
+    agent.collect();
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].end_ == RunEnd::NotStarted);
+    CHECK(agent.ends()[0].reason_ == NotStartedReason::Unknown);
+}
+
+TEST_CASE("Heartbeats that were overtaken or belong to an earlier life change nothing")
+{
+    struct Row {
+        TargetHeartbeat late_;
+        std::string name_;
+    };
+    auto row = GENERATE(values<Row>({
+        { { .incarnation_ = { "target", 5 }, .sequence_ = 3, .isDraining_ = false }, "overtaken" },
+        { { .incarnation_ = { "target", 4 }, .sequence_ = 9, .isDraining_ = false }, "earlier birth" },
+        { { .incarnation_ = { "other", 4 }, .sequence_ = 9, .isDraining_ = false }, "earlier target at the same address" },
+        { { .incarnation_ = { "target", 5 }, .sequence_ = 5, .isDraining_ = false }, "a target that leaves does not come back within a life" },
+    }));
+    INFO(row.name_);
+    TargetState target;
+    CHECK(target.update({ .incarnation_ = { "target", 5 }, .sequence_ = 4, .isDraining_ = true }) == TargetState::Change::NewIncarnation);
+    target.update(row.late_);
+    CHECK_FALSE(target.takesWork());
+    CHECK(target.incarnation() == TargetIncarnation { "target", 5 });
+}
+
+TEST_CASE("A target is suspect once the last runs of several jobs failed, and no longer once one is done")
+{
+    struct Row {
+        std::vector<std::string> failedJobs_;
+        bool isSuspect_;
+    };
+    auto row = GENERATE(values<Row>({ { { "a" }, false }, { { "a", "a", "a", "a" }, false }, { { "a", "b" }, false }, { { "a", "b", "c" }, true } }));
+    TargetMonitor monitor;
+    for (const auto& job : row.failedJobs_)
+        monitor.recordFailure(job);
+    CHECK(monitor.isSuspect() == row.isSuspect_);
+    monitor.recordDone(milliseconds(10), milliseconds(10));
+    CHECK_FALSE(monitor.isSuspect());
+}
+
+TEST_CASE("The common times leave no overlap whatever the platform's limits")
+{
+    auto maxLease = GENERATE(values<int>({ 200, 1000, 5000 }));
+    auto stop = GENERATE(values<int>({ 5, 50, 200 }));
+    auto resend = GENERATE(values<int>({ 1000, 1300, 4000 }));
+    auto times = RunTimes::derive(milliseconds(maxLease), milliseconds(stop), milliseconds(resend));
+    CHECK(times.lease_ <= milliseconds(maxLease));
+    CHECK(times.entryTimeout_ + times.stopTimeout_ < milliseconds(resend));
+    CHECK(times.lease_ * 102 / 100 + times.stopTimeout_ < milliseconds(resend));
+    CHECK(times.orphanTimeout_ > times.lease_ * 102 / 100 + times.stopTimeout_);
+    CHECK(times.orphanTimeout_ > times.entryTimeout_ + times.stopTimeout_);
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -0,0 +1,99 @@
+#include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Transport/GapDetector.h"
+#include "Lagoonpick/Wire/RunMessageCodec.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <rapidcheck/catch.h>
+#include <unistd.h>
+
+namespace Lagoonpick {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("A log line is JSON whatever its fields hold")
+{
+    rc::prop("any text", [](const std::string& text) {
+        LogLine line("event");
+        line.text("text", text).number("number", 7).flag("flag", true).milliseconds("ms", milliseconds(3));
+        boost::system::error_code error;
+        // The parser takes only UTF-8, which the log does not check.
+        boost::json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        auto value = boost::json::parse("{" + line.fields() + "}", error, {}, options);
+        RC_ASSERT(!error);
+        RC_ASSERT(value.at("number").as_int64() == 7);
+    });
+}
+
+TEST_CASE("A reader of standard output that has stopped never blocks the log; what was dropped is counted and told")
+{
+    int pipeEnds[2];
+    REQUIRE(pipe(pipeEnds) == 0);
+    int former = dup(STDOUT_FILENO);
+    REQUIRE(dup2(pipeEnds[1], STDOUT_FILENO) >= 0);
+    EventLog log("process", 8192);
+    constexpr int lines = 5000;
+    for (int i = 0; i < lines; ++i) {
+        log.write(Time(), LogLine("event").number("line", i));
+        log.flush();
+    }
+    std::uint64_t dropped = log.linesDropped();
+    std::string read;
+    auto drain = [&] {
+        char buffer[65536];
+        fcntl(pipeEnds[0], F_SETFL, O_NONBLOCK);
+        for (ssize_t count = ::read(pipeEnds[0], buffer, sizeof buffer); count > 0; count = ::read(pipeEnds[0], buffer, sizeof buffer))
+            read.append(buffer, static_cast<std::size_t>(count));
+    };
+    drain();
+    log.flush();
+    log.write(Time(), LogLine("after"));
+    log.flush();
+    drain();
+    dup2(former, STDOUT_FILENO);
+    close(former);
+    close(pipeEnds[0]);
+    close(pipeEnds[1]);
+    CHECK(dropped > 0);
+    CHECK(dropped < lines);
+    CHECK(read.find("\"event\":\"log_lines_dropped\",\"lines\":" + std::to_string(dropped)) != std::string::npos);
+}
+
+TEST_CASE("A gap is told only if it is longer than the limit, and once")
+{
+    auto [gap, isTold] = GENERATE(table<int, bool>({ { 10, false }, { 400, false }, { 401, true }, { 5000, true } }));
+    GapDetector gaps { milliseconds(400) };
+    Time start { std::chrono::hours(1) };
+    CHECK_FALSE(gaps.check(start));
+    CHECK(gaps.check(start + milliseconds(gap)).has_value() == isTold);
+    CHECK_FALSE(gaps.check(start + milliseconds(gap + 1)));
+}
+
+TEST_CASE("Messages of runs survive their codec, and no frame breaks it")
+{
+    std::vector<Wire::RunMessage> messages {
+        Wire::EntryHello { .incarnation_ = Incarnation(5), .name_ = "e", .availabilityZone_ = "z", .address_ = "10.0.0.1:1" },
+        Wire::AgentHello { .incarnation_ = Incarnation(6), .name_ = "a", .availabilityZone_ = "z" },
+        Wire::Pulse { 3, 4 },
+        Wire::ConfigurationCopy { 9, "text" },
+        Wire::EntryAddresses { { "10.0.0.1:1", "10.0.0.2:1" } },
+        Wire::StartRun { 1, "job.0.0.1", 2, "payload", { 1, 2, 3 }, 4, 5, -6 },
+        Wire::StopRun { 1 },
+        Wire::QueryRun { 2 },
+        Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
+        Wire::RunStalled { 4 },
+        Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 5, 6 },
+    };
+    REQUIRE(messages.size() == std::variant_size_v<Wire::RunMessage>);
+    std::string frame = Wire::RunCodec::encode(messages);
+    auto decoded = Wire::RunCodec::decode(frame);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value() == messages);
+    for (std::size_t size = 0; size < frame.size(); ++size)
+        CHECK_FALSE(Wire::RunCodec::decode(frame.substr(0, size)).has_value());
+    rc::prop("any bytes", [](const std::string& bytes) { (void)Wire::RunCodec::decode(bytes); });
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -0,0 +1,224 @@
+#include "platform/ConfigurationCodec.h"
+#include "platform/JobCodec.h"
+#include "platform/TargetCodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace Lagoonpick::UsersPlatform {
+
+namespace {
+
+const std::string id = "5c0e7a21d94b36f8";
+
+HttpRequest makeRequest(const std::string& method, const std::string& path, const std::string& body = {})
+{
+    return { .method_ = method, .path_ = path, .query_ = {}, .idempotencyKey_ = {}, .body_ = body, .headers_ = { { "host", "nony24.example" }, { "lagoonpick-deadline-ms", "2500" } }, .presence_ = {} };
+}
+
+const std::string goodJob = R"({"spec":"text","steps":[{"count":6,"cpu":1350,"mem_mb":64,"estimate_ms":52,"affinity":"r1-3"}],"best_effort":true})";
+const std::string goodBeat = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":77})";
+
+} // namespace
+
+TEST_CASE("A job that need not be kept is read whole")
+{
+    auto call = decodeJobCall(makeRequest("POST", "/pule/" + id, goodJob));
+    REQUIRE(std::holds_alternative<JobRequest>(call));
+    const auto& job = std::get<JobRequest>(call);
+    CHECK(job.id_ == id);
+    CHECK(job.host_ == "nony24.example");
+    CHECK(job.path_ == "/pule/");
+    CHECK(job.taskCount_ == 6);
+    CHECK(job.need_ == Wire::Resources { 1350, 64, 0 });
+    CHECK(job.rack_ == "r1-3");
+    CHECK(job.estimate_ == std::chrono::milliseconds(52));
+    CHECK(job.patience_ == std::chrono::milliseconds(2500));
+}
+
+TEST_CASE("What is not served is told apart from what can't be read")
+{
+    struct Row {
+        std::string method_;
+        std::string path_;
+        std::string body_;
+        std::size_t alternative_;
+    };
+    constexpr std::size_t unsupported = 1;
+    constexpr std::size_t state = 2;
+    constexpr std::size_t cancel = 3;
+    constexpr std::size_t queue = 4;
+    constexpr std::size_t malformed = 5;
+    auto row = GENERATE(values<Row>({
+        { "POST", "/p/" + id, R"({"spec":"","steps":[{"count":1}]})", unsupported },
+        { "POST", "/p/" + id, R"({"steps":[{"count":1},{"count":1,"after":[0]}],"best_effort":true})", unsupported },
+        { "POST", "/p/" + id, R"({"steps":[{"gang":true}],"best_effort":true})", unsupported },
+        { "POST", "/p/" + id, R"({"steps":[{"long_running":true}],"best_effort":true})", unsupported },
+        { "POST", "/p/" + id, R"({"steps":[{}],"best_effort":true,"times":3})", unsupported },
+        { "POST", "/p/" + id, R"({"steps":[],"best_effort":true})", malformed },
+        { "POST", "/p/" + id, R"({"steps":[7],"best_effort":true})", malformed },
+        { "POST", "/p/" + id, "\xff\xfe", malformed },
+        { "POST", "/p/" + id, "[]", malformed },
+        { "POST", "/p/" + id, R"({"spec":")" + std::string(5000, 'x') + R"(","steps":[{}],"best_effort":true})", malformed },
+        { "POST", "/p/short", goodJob, malformed },
+        { "PUT", "/p/" + id, goodJob, malformed },
+        { "GET", "/p/" + id, "", state },
+        { "DELETE", "/p/" + id, "", cancel },
+        { "GET", "/p/", "", queue },
+    }));
+    INFO(row.method_ << " " << row.path_ << " " << row.body_.substr(0, 60));
+    CHECK(decodeJobCall(makeRequest(row.method_, row.path_, row.body_)).index() == row.alternative_);
+}
+
+TEST_CASE("Verdicts have the statuses that callers act on")
+{
+    struct Row {
+        JobVerdict verdict_;
+        JobRefusal refusal_;
+        std::uint32_t status_;
+        std::string part_;
+    };
+    auto row = GENERATE(values<Row>({
+        { JobVerdict::Done, JobRefusal::None, 200, R"({"state":"done"})" },
+        { JobVerdict::Failed, JobRefusal::None, 200, R"({"state":"failed"})" },
+        { JobVerdict::Rejected, JobRefusal::Overloaded, 429, "too late" },
+        { JobVerdict::Rejected, JobRefusal::NoTargets, 503, "no target" },
+        { JobVerdict::GivenUp, JobRefusal::Deadline, 504, "in time" },
+        { JobVerdict::NoSuchQueue, JobRefusal::None, 404, "no such queue" },
+    }));
+    auto response = encodeAnswer({ CallerId(1), row.verdict_, row.refusal_, std::chrono::milliseconds(1500) });
+    CHECK(response.status_ == row.status_);
+    CHECK(response.body_.find(row.part_) != std::string::npos);
+    CHECK(response.retryAfterSeconds_ == (row.verdict_ == JobVerdict::Rejected ? 2 : 0));
+}
+
+TEST_CASE("A heartbeat that lacks a field, or has one of another type, names no target")
+{
+    CHECK(decodeHeartbeat("i", goodBeat).has_value());
+    auto [from, to] = GENERATE(table<std::string, std::string>({
+        { R"("service":"s",)", "" },
+        { R"("service":"s")", R"("service":7)" },
+        { R"("state":"ready")", R"("state":"resting")" },
+        { R"("seq":4)", R"("seq":"four")" },
+        { R"("seq":4)", R"("seq":-4)" },
+        { R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0})", R"("capacity":[])" },
+        { R"("cpu":16000)", R"("cpu":null)" },
+        { "{", "" },
+    }));
+    std::string text = goodBeat;
+    text.replace(text.find(from), from.size(), to);
+    INFO(text);
+    CHECK_FALSE(decodeHeartbeat("i", text).has_value());
+}
+
+TEST_CASE("Unknown fields of a heartbeat are ignored")
+{
+    std::string text = goodBeat;
+    text.insert(1, R"("new":{"deep":[1,2]},)");
+    auto heartbeat = decodeHeartbeat("i", text);
+    REQUIRE(heartbeat.has_value());
+    CHECK(heartbeat.value().incarnation_ == TargetIncarnation { "i", 77 });
+    CHECK(heartbeat.value().labels_ == std::vector<std::string> { "a", "r1-3" });
+}
+
+TEST_CASE("Routes that can't be read are left out, a configuration without a version is none")
+{
+    auto [text, expected] = GENERATE(table<std::string, int>({
+        { R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","max_attempts":3,"slack_factor":1.6,"target_completion_ms":60}]})", 1 },
+        { R"({"version":7,"routes":[{"name":"r"},7,{"name":"r","host":"h","prefix":"/p/","service":"s"}]})", 1 },
+        { R"({"version":7,"routes":[]})", 0 },
+        { R"({"routes":[]})", -1 },
+        { R"({"version":"7","routes":[]})", -1 },
+        { "null", -1 },
+        { "", -1 },
+    }));
+    auto queues = decodeConfiguration(text);
+    CHECK((queues ? static_cast<int>(queues.value().rules().size()) : -1) == expected);
+}
+
+TEST_CASE("A target's answers are told apart")
+{
+    struct Row {
+        ExchangeStage stage_;
+        std::uint32_t status_;
+        std::string body_;
+        TargetAnswer answer_;
+    };
+    auto row = GENERATE(values<Row>({
+        { ExchangeStage::Answered, 200, R"({"clock_ms":5})", TargetAnswer::Accepted },
+        { ExchangeStage::Answered, 200, "half a bo", TargetAnswer::NoAnswer },
+        { ExchangeStage::Answered, 409, R"({"clock_ms":5,"reason":"fence"})", TargetAnswer::Fenced },
+        { ExchangeStage::Answered, 409, R"({"reason":"old"})", TargetAnswer::OldNumber },
+        { ExchangeStage::Answered, 409, R"({"reason":"late"})", TargetAnswer::Late },
+        { ExchangeStage::Answered, 409, R"({"reason":"room"})", TargetAnswer::NoRoom },
+        { ExchangeStage::Answered, 409, "", TargetAnswer::Rejected },
+        { ExchangeStage::Answered, 421, "", TargetAnswer::WrongTarget },
+        { ExchangeStage::Answered, 429, "", TargetAnswer::Rejected },
+        { ExchangeStage::Answered, 503, "", TargetAnswer::Rejected },
+        { ExchangeStage::Answered, 400, "", TargetAnswer::Malformed },
+        { ExchangeStage::Written, 0, "", TargetAnswer::NoAnswer },
+        { ExchangeStage::NotWritten, 0, "", TargetAnswer::NoAnswer },
+    }));
+    auto reply = decodeCallReply(9, { row.stage_, row.status_, row.body_ });
+    CHECK(reply.answer_ == row.answer_);
+    CHECK(reply.call_ == 9);
+}
+
+TEST_CASE("The lists of a lease's answer are read row by row")
+{
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":482113,"born":77,"running":[["a.0.0.1",2,"",41,0.5],["bad"],7],"finished":[[58,"a.0.0.9",1,"done",""],[59,"a.0.0.8",1,"lapsed",""],[],["x"]]})" });
+    REQUIRE(reply.running_.size() == 1);
+    CHECK(reply.running_[0].name_ == RunName { "a.0.0.1", 2 });
+    CHECK(reply.running_[0].percent_ == 41);
+    REQUIRE(reply.ended_.size() == 2);
+    CHECK(reply.ended_[0].end_ == Wire::RunEnd::Done);
+    CHECK(reply.ended_[1].end_ == Wire::RunEnd::Stopped);
+    CHECK(reply.bornAt_ == 77);
+}
+
+TEST_CASE("Paths of heartbeats and departures name their target")
+{
+    auto [path, target, isDeparture] = GENERATE(table<std::string, std::string, bool>({
+        { "/lagoonpick/instances/i-7/heartbeat", "i-7", false },
+        { "/lagoonpick/instances/i-7/deregister", "i-7", true },
+        { "/lagoonpick/instances//heartbeat", "", false },
+        { "/lagoonpick/instances/i-7", "", false },
+        { "/other", "", false },
+    }));
+    auto notice = decodeNotice(makeRequest("POST", path));
+    CHECK((notice ? notice->id_ : "") == target);
+    if (notice)
+        CHECK(notice->isDeparture_ == isDeparture);
+}
+
+TEST_CASE("Calls to a target carry what it needs and nothing that is not set")
+{
+    auto start = encode(TargetStart { 1, { "a.0.0.1", 2 }, "text", 486000, 7, "i-7" });
+    CHECK(start.path_ == "/lagoonpick/run-start");
+    CHECK(start.body_ == R"({"task":"a.0.0.1","run":2,"spec":"text","deadline_ms":486000,"fencing_token":7})");
+    CHECK(start.headers_ == std::vector<HttpHeader> { { "Lagoonpick-Expect-Instance", "i-7" } });
+    auto look = encode(LeaseCall { .fencingToken_ = 7, .endsSeen_ = 57 });
+    CHECK(look.body_ == R"({"fencing_token":7,"ack_seq":57})");
+    auto hold = encode(LeaseCall { .leaseUntil_ = 486000, .fencingToken_ = 7, .endsSeen_ = 57, .wait_ = std::chrono::milliseconds(140) });
+    CHECK(hold.body_ == R"({"fencing_token":7,"ack_seq":57,"deadline_ms":486000,"wait_ms":140})");
+}
+
+TEST_CASE("No bytes of another writer break a codec")
+{
+    rc::prop("any text", [](const std::string& text) {
+        (void)decodeHeartbeat("i", text);
+        (void)decodeConfiguration(text);
+        (void)decodeLeaseReply(1, { ExchangeStage::Answered, 200, text });
+        (void)decodeJobCall(makeRequest("POST", "/p/" + id, text));
+    });
+    rc::prop("damaged messages", [] {
+        std::string text = *rc::gen::element(goodJob, goodBeat);
+        auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+        text[place] = *rc::gen::arbitrary<char>();
+        text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
+        (void)decodeHeartbeat("i", text);
+        (void)decodeJobCall(makeRequest("POST", "/p/" + id, text));
+    });
+}
+
+} // namespace Lagoonpick::UsersPlatform
