--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -85,7 +85,7 @@
     startedAt_ = enter();
     settingsText_ = readFile(settingsFile_).value_or("");
     log(LogLine("started").text("availability_zone", settings_.job_.availabilityZone_).text("incarnation", settings_.job_.incarnation_.toString()));
-    auto fault = links_.listen(settings_.job_.linkAddress_);
+    auto fault = links_.listen(settings_.linkListenAddress_);
     if (fault.empty())
         fault = front_.listen(settings_.frontAddress_);
     if (fault.empty())
--- a/JobEntry/JobEntrySettings.cpp
+++ b/JobEntry/JobEntrySettings.cpp
@@ -17,7 +17,8 @@
     JobSettings& job = settings.job_;
     job.name_ = reader.text("entry", "name");
     job.availabilityZone_ = reader.text("entry", "availability_zone");
-    job.linkAddress_ = reader.address("entry", "link_address");
+    settings.linkListenAddress_ = reader.address("entry", "link_address");
+    job.linkAddress_ = reader.address("entry", "advertised_link_address", settings.linkListenAddress_.empty() ? "0.0.0.0:0" : settings.linkListenAddress_);
     settings.frontAddress_ = reader.address("entry", "front_address");
     settings.readyAddress_ = reader.address("entry", "ready_address");
     settings.metricsAddress_ = reader.address("entry", "metrics_address");
--- a/JobEntry/JobEntrySettings.h
+++ b/JobEntry/JobEntrySettings.h
@@ -10,6 +10,8 @@
 /// Everything that an entry which holds jobs is configured with.
 struct JobEntrySettings {
     JobSettings job_;
+    /// Where this process takes links; `job_.linkAddress_` is what others are told.
+    std::string linkListenAddress_;
     std::string frontAddress_;
     std::string readyAddress_;
     std::string metricsAddress_;
--- /dev/null
+++ b/Soak/RunRecord.cpp
@@ -0,0 +1,86 @@
+#include "Soak/RunRecord.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace Lagoonpick::Soak {
+
+namespace {
+
+struct RunEvent {
+    std::int64_t at_ { 0 };
+    bool isBegin_ { false };
+    std::string task_;
+    std::string number_;
+    std::string end_;
+    std::string target_;
+};
+
+std::vector<RunEvent> readEvents(const std::string& file)
+{
+    std::vector<RunEvent> events;
+    std::ifstream lines(file);
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream words(line);
+        RunEvent event;
+        std::string what;
+        if (words >> event.at_ >> what >> event.task_ >> event.number_ >> event.end_ >> event.target_) {
+            event.isBegin_ = what == "began";
+            events.push_back(event);
+        }
+    }
+    // At one moment an end comes first: the next run may begin just then.
+    std::stable_sort(events.begin(), events.end(), [](const auto& left, const auto& right) { return std::tie(left.at_, left.isBegin_) < std::tie(right.at_, right.isBegin_); });
+    return events;
+}
+
+} // namespace
+
+void CallerRecord::note(const std::string& id, std::uint32_t tasks, std::uint32_t status, const std::string& state)
+{
+    constexpr std::uint32_t tooManyRequests = 429;
+    constexpr std::uint32_t unavailable = 503;
+    std::lock_guard lock(mutex_);
+    ToldJob& job = jobs_[id];
+    job.tasks_ = tasks;
+    job.isDone_ = job.isDone_ || state == "done";
+    job.isOnlyRejected_ = job.isOnlyRejected_ && (status == tooManyRequests || status == unavailable);
+}
+
+std::size_t CallerRecord::doneCount() const
+{
+    return std::count_if(jobs_.begin(), jobs_.end(), [](const auto& row) { return row.second.isDone_; });
+}
+
+std::vector<std::string> checkRuns(const std::string& recordFile, const CallerRecord& callers)
+{
+    std::vector<std::string> breaks;
+    std::map<std::string, std::string> runningOn;
+    std::map<std::string, std::set<std::string>> doneTasks;
+    std::set<std::string> begunJobs;
+    for (const auto& event : readEvents(recordFile)) {
+        std::string job = event.task_.substr(0, event.task_.find('.'));
+        std::string where = event.target_ + " number " + event.number_;
+        if (event.isBegin_) {
+            begunJobs.insert(job);
+            auto [running, isNew] = runningOn.emplace(event.task_, where);
+            if (!isNew)
+                breaks.push_back("two runs at a time: " + event.task_ + " on " + running->second + " and " + where);
+            continue;
+        }
+        if (runningOn[event.task_] == where)
+            runningOn.erase(event.task_);
+        if (event.end_ == "done")
+            doneTasks[job].insert(event.task_);
+    }
+    for (const auto& [id, job] : callers.jobs()) {
+        if (job.isOnlyRejected_ && begunJobs.contains(id))
+            breaks.push_back("began although every answer said that it has not run: " + id);
+        if (job.isDone_ && doneTasks[id].size() != job.tasks_)
+            breaks.push_back("answered as done with " + std::to_string(doneTasks[id].size()) + " of " + std::to_string(job.tasks_) + " tasks done: " + id);
+    }
+    return breaks;
+}
+
+} // namespace Lagoonpick::Soak
--- /dev/null
+++ b/Soak/RunsSoak.cpp
@@ -0,0 +1,247 @@
+#include "ContractTests/Support/Caller.h"
+#include "Soak/RunRecord.h"
+#include "Soak/SoakSystem.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fmt/format.h>
+#include <iostream>
+#include <thread>
+
+namespace Lagoonpick::Soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int callerCount = 8;
+constexpr int maxAttempts = 3;
+/// After no final answer a caller sends its job again so much later; what the programs take as their default.
+constexpr auto resendInterval = milliseconds(1300);
+/// A silence that an end may have taken for the link's end is followed by a cut: no byte outlives a reset.
+constexpr auto maxHealedSilence = milliseconds(300);
+
+int readNumber(const char* name, int otherwise)
+{
+    const char* text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
+}
+
+/// Sends jobs until told to stop; each again, elsewhere, as long as it has no final answer.
+void submitJobs(const SoakSystem& system, CallerRecord& record, std::uint64_t seed, const std::atomic<bool>& isOver)
+{
+    std::mt19937_64 random(seed);
+    while (!isOver) {
+        std::string id = fmt::format("{:016x}", random());
+        auto tasks = static_cast<std::uint32_t>(1 + random() % 5);
+        auto body = fmt::format(R"({{"spec":"work_ms={} cpu=1000","steps":[{{"count":{},"cpu":1000,"mem_mb":1,"estimate_ms":100}}],"best_effort":true}})", 20 + random() % 200, tasks);
+        for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+            auto answer = Contract::call(system.front(random() % system.entryCount()), "POST", "/queue/" + id, body, 3);
+            record.note(id, tasks, answer.status_, answer.member("state"));
+            bool isFinal = answer.status_ && answer.status_ != 502 && answer.status_ != 504;
+            if (isFinal)
+                break;
+            std::this_thread::sleep_for(resendInterval);
+        }
+        std::this_thread::sleep_for(milliseconds(random() % 40));
+    }
+}
+
+/// Does things to the system from outside, one after the other, and mends each after a while. Two of them work at a
+/// time, one on each side, so that troubles overlap and no process is killed twice at once.
+class Troublemaker {
+public:
+    enum class Side {
+        EntriesAndStore,
+        AgentsAndTargets,
+    };
+
+    Troublemaker(SoakSystem& system, Side side, std::uint64_t seed)
+        : system_(system)
+        , side_(side)
+        , random_(seed)
+    {
+    }
+
+    void work(std::chrono::steady_clock::time_point until)
+    {
+        while (std::chrono::steady_clock::now() < until) {
+            act();
+            pause(20, 400);
+        }
+    }
+
+    const std::string& trace() const { return trace_; }
+    const std::vector<std::string>& breaks() const { return breaks_; }
+
+private:
+    void act()
+    {
+        using Action = std::pair<const char*, void (Troublemaker::*)()>;
+        constexpr std::array<Action, 6> entryActions { { { "entry-kill", &Troublemaker::killEntry }, { "entry-freeze", &Troublemaker::freezeEntry }, { "entry-term", &Troublemaker::shutDownEntry },
+            { "link-silence", &Troublemaker::silenceLink }, { "store", &Troublemaker::troubleStore }, { "configure", &Troublemaker::configure } } };
+        constexpr std::array<Action, 6> agentActions { { { "agent-kill", &Troublemaker::killAgent }, { "agent-freeze", &Troublemaker::freezeAgent }, { "agent-term", &Troublemaker::shutDownAgent },
+            { "target-silence", &Troublemaker::silenceTarget }, { "target", &Troublemaker::troubleTarget }, { "link-cut", &Troublemaker::cutLink } } };
+        const auto& actions = side_ == Side::EntriesAndStore ? entryActions : agentActions;
+        auto [name, action] = actions[random_() % actions.size()];
+        trace_ += std::string(name) + " ";
+        (this->*action)();
+    }
+
+    std::size_t entry() { return random_() % system_.entryCount(); }
+    std::size_t agent() { return random_() % system_.agentCount(); }
+    void pause(int least, int most) { std::this_thread::sleep_for(milliseconds(least + random_() % (most - least))); }
+
+    void killEntry()
+    {
+        auto victim = entry();
+        system_.killEntry(victim);
+        pause(50, 500);
+        system_.startEntry(victim);
+    }
+
+    void killAgent()
+    {
+        auto victim = agent();
+        system_.killAgent(victim);
+        pause(20, 800);
+        system_.startAgent(victim);
+    }
+
+    void freezeEntry()
+    {
+        auto victim = entry();
+        system_.signalEntry(victim, SIGSTOP);
+        pause(100, 2500);
+        system_.signalEntry(victim, SIGCONT);
+    }
+
+    void freezeAgent()
+    {
+        auto victim = agent();
+        system_.signalAgent(victim, SIGSTOP);
+        pause(100, 2000);
+        system_.signalAgent(victim, SIGCONT);
+    }
+
+    /// Ended gracefully and started again, as for an update.
+    void shutDownEntry()
+    {
+        auto victim = entry();
+        system_.signalEntry(victim, SIGTERM);
+        if (!system_.waitForEntry(victim, graceSeconds))
+            breaks_.push_back("an entry did not shut down in time");
+        system_.startEntry(victim);
+    }
+
+    void shutDownAgent()
+    {
+        auto victim = agent();
+        system_.signalAgent(victim, SIGTERM);
+        if (!system_.waitForAgent(victim, graceSeconds))
+            breaks_.push_back("an agent did not shut down in time");
+        system_.startAgent(victim);
+    }
+
+    void silenceLink() { silence(system_.linkRelay(entry()), static_cast<int>(random_() % 1500)); }
+    void silenceTarget() { silence(system_.targetRelay(agent()), static_cast<int>(random_() % 1500)); }
+    void cutLink() { system_.linkRelay(entry()).cut(); }
+
+    void silence(Contract::Relay& relay, int span)
+    {
+        relay.setSilent(true);
+        std::this_thread::sleep_for(milliseconds(span));
+        if (milliseconds(span) > maxHealedSilence)
+            relay.cut();
+        relay.setSilent(false);
+    }
+
+    void troubleStore()
+    {
+        constexpr std::array<const char*, 3> faults { "outage", "slow", "lose_answers" };
+        Contract::call(system_.store(), "POST", "/standin/fault", faults[random_() % faults.size()]);
+        pause(300, 2000);
+        Contract::call(system_.store(), "POST", "/standin/fault", "none");
+        if (random_() % 2)
+            silence(system_.storeRelay(), 800);
+    }
+
+    void troubleTarget()
+    {
+        auto victim = agent();
+        if (random_() % 2) {
+            Contract::call(system_.target(victim), "POST", "/standin/late");
+            return;
+        }
+        Contract::call(system_.target(victim), "POST", "/standin/fail", "on");
+        pause(200, 1000);
+        Contract::call(system_.target(victim), "POST", "/standin/fail", "off");
+    }
+
+    void configure() { system_.configure(++version_); }
+
+    static constexpr int graceSeconds = 7;
+
+    SoakSystem& system_;
+    Side side_;
+    std::mt19937_64 random_;
+    std::vector<std::string> breaks_;
+    std::uint64_t version_ { 1 };
+    std::string trace_;
+};
+
+/// Plays one seed; returns what broke.
+std::vector<std::string> play(std::uint64_t seed, SoakSize size, std::chrono::seconds span)
+{
+    SoakSystem system(size);
+    if (!system.waitUntilReady(20))
+        return { "the entries did not become ready" };
+    CallerRecord record;
+    std::atomic<bool> isOver { false };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < callerCount; ++i)
+        callers.emplace_back([&, i] { submitJobs(system, record, seed * callerCount + i, isOver); });
+    auto end = std::chrono::steady_clock::now() + span;
+    Troublemaker first(system, Troublemaker::Side::EntriesAndStore, seed);
+    Troublemaker second(system, Troublemaker::Side::AgentsAndTargets, seed + 1'000'000);
+    std::thread other([&] { second.work(end); });
+    first.work(end);
+    other.join();
+    // It has to serve again once nothing is wrong any more.
+    bool isReady = system.waitUntilReady(10);
+    std::size_t doneBefore = record.doneCount();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    isOver = true;
+    for (auto& caller : callers)
+        caller.join();
+    auto breaks = checkRuns(system.recordFile(), record);
+    breaks.insert(breaks.end(), first.breaks().begin(), first.breaks().end());
+    breaks.insert(breaks.end(), second.breaks().begin(), second.breaks().end());
+    if (!isReady || record.doneCount() <= doneBefore)
+        breaks.push_back("it does not serve after the troubles");
+    std::cout << "seed " << seed << ": " << record.jobs().size() << " jobs, " << record.doneCount() << " done, " << breaks.size() << " broken promises; troubles " << first.trace() << "| " << second.trace() << std::endl;
+    if (!breaks.empty() && std::getenv("SOAK_KEEP_LOGS"))
+        std::filesystem::copy(system.logs(), fmt::format("{}/seed-{}", std::getenv("SOAK_KEEP_LOGS"), seed), std::filesystem::copy_options::recursive);
+    return breaks;
+}
+
+} // namespace
+
+TEST_CASE("Real processes keep their promises whatever is done to them from outside")
+{
+    int first = readNumber("SOAK_FIRST_SEED", 1);
+    int count = readNumber("SOAK_SEEDS", 2);
+    SoakSize size { static_cast<std::size_t>(readNumber("SOAK_ENTRIES", 3)), static_cast<std::size_t>(readNumber("SOAK_AGENTS", 4)) };
+    for (int seed = first; seed < first + count; ++seed) {
+        auto breaks = play(static_cast<std::uint64_t>(seed), size, std::chrono::seconds(readNumber("SOAK_SECONDS", 8)));
+        INFO("seed " << seed);
+        for (const auto& text : breaks)
+            UNSCOPED_INFO(text);
+        CHECK(breaks.empty());
+    }
+}
+
+} // namespace Lagoonpick::Soak
--- /dev/null
+++ b/Soak/SoakSystem.cpp
@@ -0,0 +1,91 @@
+#include "Soak/SoakSystem.h"
+
+#include "ContractTests/Support/Caller.h"
+
+#include <fmt/format.h>
+
+namespace Lagoonpick::Soak {
+
+using Contract::freeAddress;
+using Contract::Process;
+using Contract::Relay;
+
+namespace {
+
+constexpr auto configuration = R"({{"version":{},"routes":[{{"name":"queue","host":"127.0.0.1","prefix":"/queue/","service":"service","max_attempts":3,"slack_factor":1.6,"target_completion_ms":60}}]}})";
+
+} // namespace
+
+SoakSystem::SoakSystem(SoakSize size)
+    : storeAddress_(freeAddress())
+    , storeRelayAddress_(freeAddress())
+    , entries_(size.entries_)
+    , agents_(size.agents_)
+{
+    storeProcess_ = std::make_unique<Process>(std::vector<std::string> { USERS_STANDIN, "--address", storeAddress_ }, folder_.path() + "/store.log");
+    Contract::waitForStatus(storeAddress_, "/standin/put?key=unused", 200);
+    storeRelay_ = std::make_unique<Relay>(storeRelayAddress_, storeAddress_);
+    configure(1);
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        Entry& entry = entries_[i];
+        for (auto* address : { &entry.front_, &entry.ready_, &entry.link_, &entry.relayAddress_, &entry.metrics_ })
+            *address = freeAddress();
+        entry.relay_ = std::make_unique<Relay>(entry.relayAddress_, entry.link_);
+        startEntry(i);
+    }
+    for (std::size_t i = 0; i < agents_.size(); ++i) {
+        Agent& agent = agents_[i];
+        for (auto* address : { &agent.control_, &agent.metrics_, &agent.targetAddress_, &agent.relayAddress_ })
+            *address = freeAddress();
+        agent.relay_ = std::make_unique<Relay>(agent.relayAddress_, agent.targetAddress_);
+        std::vector<std::string> arguments { USERS_STANDIN, "--address", agent.targetAddress_, "--control", agent.control_, "--id", fmt::format("target-{}", i), "--record", recordFile() };
+        agent.target_ = std::make_unique<Process>(arguments, folder_.path() + "/targets.log");
+        startAgent(i);
+    }
+}
+
+void SoakSystem::configure(std::uint64_t version) const
+{
+    Contract::call(storeAddress_, "POST", "/standin/put?key=op%2Fconfig", fmt::format(configuration, version));
+}
+
+bool SoakSystem::waitUntilReady(int seconds) const
+{
+    for (const auto& entry : entries_) {
+        if (!Contract::waitForStatus(entry.ready_, "/lagoonpick/ready", 200, seconds))
+            return false;
+    }
+    return true;
+}
+
+void SoakSystem::startEntry(std::size_t i)
+{
+    Entry& entry = entries_[i];
+    auto text = fmt::format("[entry]\nname = entry-{}\navailability_zone = zone-a\nfront_address = {}\nready_address = {}\nlink_address = {}\n"
+                            "advertised_link_address = {}\nmetrics_address = {}\nseeds = -\n[store]\naddress = {}\n",
+        i, entry.front_, entry.ready_, entry.link_, entry.relayAddress_, entry.metrics_, storeRelayAddress_);
+    auto file = folder_.write(fmt::format("entry-{}.ini", i), text);
+    entry.process_ = std::make_unique<Process>(std::vector<std::string> { JOB_ENTRY_PROGRAM, "--config", file }, fmt::format("{}/entry-{}.log", folder_.path(), i));
+}
+
+void SoakSystem::startAgent(std::size_t i)
+{
+    Agent& agent = agents_[i];
+    auto text = fmt::format("[agent]\nname = agent-{}\navailability_zone = zone-a\ncontrol_address = {}\nmetrics_address = {}\n"
+                            "entry_link_address = 127.0.0.1:1\nseeds = -\n[target]\naddress = {}\n[store]\naddress = {}\n",
+        i, agent.control_, agent.metrics_, agent.relayAddress_, storeRelayAddress_);
+    auto file = folder_.write(fmt::format("agent-{}.ini", i), text);
+    agent.process_ = std::make_unique<Process>(std::vector<std::string> { RUN_AGENT_PROGRAM, "--config", file }, fmt::format("{}/agent-{}.log", folder_.path(), i));
+}
+
+void SoakSystem::killEntry(std::size_t entry)
+{
+    entries_[entry].process_->kill();
+}
+
+void SoakSystem::killAgent(std::size_t agent)
+{
+    agents_[agent].process_->kill();
+}
+
+} // namespace Lagoonpick::Soak
--- /dev/null
+++ b/Soak/SoakSystem.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "ContractTests/Support/Process.h"
+#include "ContractTests/Support/Relay.h"
+
+#include <memory>
+#include <random>
+
+namespace Lagoonpick::Soak {
+
+/// How many of each there are.
+struct SoakSize {
+    std::size_t entries_ { 3 };
+    std::size_t agents_ { 4 };
+};
+
+/// The programs of the users' platform as separate processes, with stand-ins for its store and its targets, and a
+/// relay on each link and on the way to the store.
+class SoakSystem {
+public:
+    explicit SoakSystem(SoakSize size);
+
+    const std::string& front(std::size_t entry) const { return entries_[entry].front_; }
+    const std::string& ready(std::size_t entry) const { return entries_[entry].ready_; }
+    std::size_t entryCount() const { return entries_.size(); }
+    std::size_t agentCount() const { return agents_.size(); }
+    std::string recordFile() const { return folder_.path() + "/runs"; }
+    std::string logs() const { return folder_.path(); }
+
+    /// True once every entry is ready.
+    bool waitUntilReady(int seconds) const;
+
+    /// Writes a version of the configuration into the store.
+    void configure(std::uint64_t version) const;
+
+    /// Sends a signal to an entry's or agent's process; one that ends is started again after a pause.
+    void signalEntry(std::size_t entry, int number) const { entries_[entry].process_->signal(number); }
+    void signalAgent(std::size_t agent, int number) const { agents_[agent].process_->signal(number); }
+    void killEntry(std::size_t entry);
+    void startEntry(std::size_t entry);
+    void killAgent(std::size_t agent);
+    void startAgent(std::size_t agent);
+    /// Waits for a process that was told to shut down; false if it did not end in time.
+    bool waitForEntry(std::size_t entry, int seconds) { return entries_[entry].process_->wait(seconds) == 0; }
+    bool waitForAgent(std::size_t agent, int seconds) { return agents_[agent].process_->wait(seconds) == 0; }
+
+    Contract::Relay& linkRelay(std::size_t entry) { return *entries_[entry].relay_; }
+    Contract::Relay& targetRelay(std::size_t agent) { return *agents_[agent].relay_; }
+    Contract::Relay& storeRelay() { return *storeRelay_; }
+    const std::string& store() const { return storeAddress_; }
+    const std::string& target(std::size_t agent) const { return agents_[agent].targetAddress_; }
+
+private:
+    struct Entry {
+        std::string front_;
+        std::string ready_;
+        std::string link_;
+        std::string relayAddress_;
+        std::string metrics_;
+        std::unique_ptr<Contract::Relay> relay_;
+        std::unique_ptr<Contract::Process> process_;
+    };
+
+    struct Agent {
+        std::string control_;
+        std::string metrics_;
+        std::string targetAddress_;
+        std::string relayAddress_;
+        std::unique_ptr<Contract::Relay> relay_;
+        std::unique_ptr<Contract::Process> target_;
+        std::unique_ptr<Contract::Process> process_;
+    };
+
+    Contract::Folder folder_;
+    std::string storeAddress_;
+    std::string storeRelayAddress_;
+    std::unique_ptr<Contract::Process> storeProcess_;
+    std::unique_ptr<Contract::Relay> storeRelay_;
+    std::vector<Entry> entries_;
+    std::vector<Agent> agents_;
+};
+
+} // namespace Lagoonpick::Soak
--- a/UnitTests/Runs/FakeRunTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -1,8 +1,8 @@
-#include "UnitTests/Runs/FakeRunTarget.h"
+#include "StandIns/LeasedTarget.h"
 
 #include <utility>
 
-namespace Lagoonpick {
+namespace Lagoonpick::StandIns {
 
 using Wire::RunEnd;
 
@@ -12,7 +12,7 @@
 
 } // namespace
 
-FakeRunTarget::FakeRunTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks)
+LeasedTarget::LeasedTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks)
     : id_(std::move(id))
     , capacity_(capacity)
     , clockRate_(clockRate)
@@ -20,13 +20,13 @@
 {
 }
 
-std::int64_t FakeRunTarget::clock(Time now) const
+std::int64_t LeasedTarget::clock(Time now) const
 {
     double milliseconds = std::chrono::duration<double, std::milli>(now - bornAt_).count();
     return static_cast<std::int64_t>(milliseconds * clockRate_);
 }
 
-void FakeRunTarget::advance(Time now)
+void LeasedTarget::advance(Time now)
 {
     std::vector<std::pair<RunName, RunEnd>> over;
     bool isLeaseOver = clock(now) > leaseUntil_;
@@ -40,14 +40,14 @@
         finish(name, end);
 }
 
-void FakeRunTarget::finish(const RunName& name, RunEnd end)
+void LeasedTarget::finish(const RunName& name, RunEnd end)
 {
     running_.erase(name);
     ended_.push_back({ ++lastEnd_, name, end });
     hooks_.ended_(name, end);
 }
 
-CallReply FakeRunTarget::receive(const TargetStart& start, Time now, bool isLate)
+CallReply LeasedTarget::receive(const TargetStart& start, Time now, bool isLate)
 {
     advance(now);
     CallReply reply { start.call_, TargetAnswer::Accepted, clock(now) };
@@ -77,7 +77,7 @@
     return reply;
 }
 
-CallReply FakeRunTarget::receive(const TargetStop& stop, Time now)
+CallReply LeasedTarget::receive(const TargetStop& stop, Time now)
 {
     advance(now);
     CallReply reply { stop.call_, TargetAnswer::Accepted, clock(now) };
@@ -93,7 +93,7 @@
     return reply;
 }
 
-LeaseReply FakeRunTarget::receive(const LeaseCall& call, Time now)
+LeaseReply LeasedTarget::receive(const LeaseCall& call, Time now)
 {
     advance(now);
     LeaseReply reply { .call_ = call.call_, .answer_ = TargetAnswer::Accepted, .clock_ = clock(now), .bornAt_ = bornCount_, .running_ = {}, .ended_ = {} };
@@ -111,7 +111,7 @@
     return reply;
 }
 
-void FakeRunTarget::restart(Time now)
+void LeasedTarget::restart(Time now)
 {
     auto lost = std::exchange(running_, {});
     for (const auto& [name, run] : lost)
@@ -127,9 +127,9 @@
     ended_.clear();
 }
 
-TargetHeartbeat FakeRunTarget::heartbeat()
+TargetHeartbeat LeasedTarget::heartbeat()
 {
     return { .incarnation_ = { id_, bornCount_ }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = { "kind" }, .capacity_ = capacity_, .isDraining_ = isDraining_ };
 }
 
-} // namespace Lagoonpick
+} // namespace Lagoonpick::StandIns
--- a/UnitTests/Runs/FakeRunTarget.h
+++ b/StandIns/LeasedTarget.h
@@ -6,10 +6,10 @@
 #include <map>
 #include <random>
 
-namespace Lagoonpick {
+namespace Lagoonpick::StandIns {
 
 /// A target as agents see it: runs tasks under leases, by its own clock, and checks what no agent may do.
-class FakeRunTarget {
+class LeasedTarget {
 public:
     struct Running {
         RunName name_;
@@ -27,7 +27,7 @@
         std::function<Running(const RunName&)> describe_;
     };
 
-    FakeRunTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks);
+    LeasedTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks);
 
     /// Lets time pass: runs end, leases expire.
     void advance(Time now);
@@ -75,4 +75,4 @@
     std::uint64_t lastEnd_ { 0 };
 };
 
-} // namespace Lagoonpick
+} // namespace Lagoonpick::StandIns
--- a/StandIns/PlatformStandIn.cpp
+++ b/StandIns/PlatformStandIn.cpp
@@ -59,6 +59,17 @@
 
 } // namespace
 
+PlatformFault parsePlatformFault(std::string_view name)
+{
+    if (name == "outage")
+        return PlatformFault::Outage;
+    if (name == "slow")
+        return PlatformFault::Slow;
+    if (name == "lose_answers")
+        return PlatformFault::LoseAnswers;
+    return PlatformFault::None;
+}
+
 PlatformStandIn::PlatformStandIn(asio::io_context& context)
     : context_(context)
     , http_(context, {}, [this](const HttpRequest& request, const HttpServer::Respond& respond) { handle(request, respond); })
@@ -93,14 +104,7 @@
     }
     if (request.path_ != "/standin/fault")
         return false;
-    if (request.body_ == "outage")
-        setFault(PlatformFault::Outage);
-    else if (request.body_ == "slow")
-        setFault(PlatformFault::Slow);
-    else if (request.body_ == "lose_answers")
-        setFault(PlatformFault::LoseAnswers);
-    else
-        setFault(PlatformFault::None);
+    setFault(parsePlatformFault(request.body_));
     respond({ .body_ = "{}", .stream_ = {} });
     return true;
 }
--- a/StandIns/PlatformStandIn.h
+++ b/StandIns/PlatformStandIn.h
@@ -7,6 +7,7 @@
 #include <boost/json/fwd.hpp>
 #include <list>
 #include <map>
+#include <string_view>
 
 namespace Lagoonpick::StandIns {
 
@@ -21,6 +22,9 @@
     LoseAnswers,
 };
 
+/// Reads a fault's name as it is ordered; `None` if it is not known.
+PlatformFault parsePlatformFault(std::string_view name);
+
 /// Stands in for the platform's key-value service: the part of the etcd v3 HTTP/JSON gateway that the system uses,
 /// with faults to order (`POST /standin/fault`, body `outage`, `slow`, `lose_answers` or `none`) and a count of
 /// calls by path (`GET /standin/counts`). A test tool: keeps everything in memory, and its history for ever.
--- /dev/null
+++ b/StandIns/UsersStoreStandIn.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Lagoonpick/Transport/HttpServer.h"
+#include "StandIns/KeyValueStore.h"
+#include "StandIns/PlatformStandIn.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+
+namespace Lagoonpick::StandIns {
+
+/// Stands in for the store of the users' platform: the calls that the system makes there, with the faults of
+/// `PlatformFault` to order (`POST /standin/fault`), and `POST /standin/put?key=K` for what operators write.
+class UsersStoreStandIn {
+public:
+    explicit UsersStoreStandIn(boost::asio::io_context& context);
+
+    /// Returns what went wrong, or nothing.
+    std::string listen(const std::string& address);
+
+private:
+    struct Watch {
+        std::string prefix_;
+        std::int64_t after_;
+        std::int64_t until_;
+        HttpServer::Respond respond_;
+    };
+
+    void handle(const HttpRequest& request, const HttpServer::Respond& respond);
+    void answer(const HttpRequest& request, const HttpServer::Respond& respond);
+    bool handleOrder(const HttpRequest& request, const HttpServer::Respond& respond);
+    HttpResponse readKey(const std::string& key) const;
+    HttpResponse readRange(const std::string& prefix) const;
+    HttpResponse write(const std::string& body);
+    HttpResponse grant(const std::string& body);
+    void answerWatches();
+    void waitForTimer();
+
+    boost::asio::io_context& context_;
+    HttpServer http_;
+    KeyValueStore store_;
+    PlatformFault fault_ { PlatformFault::None };
+    std::list<Watch> watches_;
+    boost::asio::steady_timer timer_;
+};
+
+} // namespace Lagoonpick::StandIns
--- /dev/null
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -0,0 +1,195 @@
+#include "StandIns/UsersTargetStandIn.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace Lagoonpick::StandIns {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto tickInterval = std::chrono::milliseconds(2);
+constexpr auto beatInterval = std::chrono::milliseconds(300);
+constexpr auto beatTimeout = std::chrono::milliseconds(500);
+constexpr auto lateBy = std::chrono::seconds(2);
+constexpr std::uint64_t maxBodyBytes = 65'536;
+
+/// The number after `name` in a payload as `work_ms=50 cpu=1000`.
+std::uint32_t numberIn(const std::string& payload, const std::string& name, std::uint32_t otherwise)
+{
+    auto place = payload.find(name + "=");
+    return place == std::string::npos ? otherwise : static_cast<std::uint32_t>(std::stoul("0" + payload.substr(place + name.size() + 1)));
+}
+
+std::string_view reasonOf(TargetAnswer answer)
+{
+    switch (answer) {
+    case TargetAnswer::Fenced:
+        return "fence";
+    case TargetAnswer::OldNumber:
+        return "old";
+    case TargetAnswer::Late:
+        return "late";
+    default:
+        return "room";
+    }
+}
+
+HttpResponse toResponse(const CallReply& reply)
+{
+    json::object body { { "clock_ms", reply.clock_.value_or(0) } };
+    if (reply.answer_ == TargetAnswer::Accepted)
+        return { .body_ = json::serialize(body), .stream_ = {} };
+    body["reason"] = reasonOf(reply.answer_);
+    return { .status_ = 409, .body_ = json::serialize(body), .stream_ = {} };
+}
+
+std::string_view howOf(Wire::RunEnd end)
+{
+    if (end == Wire::RunEnd::Done)
+        return "done";
+    return end == Wire::RunEnd::Failed ? "failed" : "stopped";
+}
+
+} // namespace
+
+UsersTargetStandIn::UsersTargetStandIn(boost::asio::io_context& context, UsersTargetSettings settings)
+    : context_(context)
+    , settings_(std::move(settings))
+    , http_(context, {}, [this](const HttpRequest& request, const HttpServer::Respond& respond) { handle(request, respond); })
+    , control_(context, settings_.controlAddress_, maxBodyBytes)
+    , target_(settings_.id_, { settings_.milliCores_, settings_.milliCores_, 0 }, 1,
+          { [this](const RunName& name) { record("began", name, "-"); }, [this](const RunName& name, Wire::RunEnd end) { record("ended", name, howOf(end)); },
+              [this](const RunName& name) {
+                  const std::string& payload = payloads_[name.task_];
+                  return LeasedTarget::Running { name, { numberIn(payload, "cpu", 1000), 1, 0 }, Time(std::chrono::milliseconds(numberIn(payload, "work_ms", 50))) };
+              } })
+    , record_(settings_.recordFile_, std::ios::app)
+    , timer_(context)
+{
+    target_.restart(now());
+}
+
+Time UsersTargetStandIn::now() const
+{
+    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::string UsersTargetStandIn::listen()
+{
+    waitForTimer();
+    boost::asio::co_spawn(context_, beat(), boost::asio::detached);
+    return http_.listen(settings_.address_);
+}
+
+void UsersTargetStandIn::record(const char* what, const RunName& name, std::string_view end)
+{
+    record_ << now().time_since_epoch().count() << ' ' << what << ' ' << name.task_ << ' ' << name.number_ << ' ' << end << ' ' << settings_.id_ << std::endl;
+}
+
+bool UsersTargetStandIn::handleOrder(const HttpRequest& request, const HttpServer::Respond& respond)
+{
+    if (request.path_ == "/standin/drain")
+        target_.setDraining();
+    else if (request.path_ == "/standin/fail")
+        target_.setFailing(request.body_ == "on");
+    else if (request.path_ == "/standin/late")
+        isNextStartLate_ = true;
+    else
+        return false;
+    respond({ .body_ = "{}", .stream_ = {} });
+    return true;
+}
+
+void UsersTargetStandIn::handle(const HttpRequest& request, const HttpServer::Respond& respond)
+{
+    if (handleOrder(request, respond))
+        return;
+    boost::system::error_code error;
+    auto value = json::parse(request.body_, error);
+    if (error || !value.is_object()) {
+        respond({ .status_ = 400, .body_ = "{}", .stream_ = {} });
+        return;
+    }
+    const auto& body = value.get_object();
+    auto number = [&body](std::string_view name) { return body.contains(name) ? body.at(name).to_number<std::int64_t>() : 0; };
+    auto text = [&body](std::string_view name) { return body.contains(name) ? std::string(body.at(name).as_string()) : std::string(); };
+    auto token = static_cast<std::uint64_t>(number("fencing_token"));
+    RunName name { text("task"), static_cast<std::uint32_t>(number("run")) };
+    if (request.path_ == "/lagoonpick/run-start") {
+        payloads_[name.task_] = text("spec");
+        TargetStart start { 0, name, text("spec"), number("deadline_ms"), token, {} };
+        if (std::exchange(isNextStartLate_, false)) {
+            auto timer = std::make_shared<boost::asio::steady_timer>(context_, lateBy);
+            timer->async_wait([this, timer, start](const boost::system::error_code&) { target_.receive(start, now(), true); });
+            return;
+        }
+        respond(toResponse(target_.receive(start, now(), false)));
+    } else if (request.path_ == "/lagoonpick/run-stop") {
+        respond(toResponse(target_.receive(TargetStop { 0, name, token, {} }, now())));
+    } else if (request.path_ == "/lagoonpick/hold") {
+        LeaseCall call { .call_ = 0, .leaseUntil_ = {}, .fencingToken_ = token, .endsSeen_ = static_cast<std::uint64_t>(number("ack_seq")), .wait_ = {}, .expectedTarget_ = {} };
+        if (body.contains("deadline_ms"))
+            call.leaseUntil_ = number("deadline_ms");
+        target_.receive(call, now());
+        leases_.push_back({ call, now() + std::chrono::milliseconds(number("wait_ms")), respond });
+        answerLeases();
+    } else {
+        respond({ .status_ = 404, .body_ = "{}", .stream_ = {} });
+    }
+}
+
+void UsersTargetStandIn::answerLeases()
+{
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (!target_.hasNews(lease->call_.endsSeen_) && now() < lease->until_) {
+            ++lease;
+            continue;
+        }
+        auto reply = target_.receive(LeaseCall { .fencingToken_ = lease->call_.fencingToken_, .endsSeen_ = lease->call_.endsSeen_ }, now());
+        auto respond = lease->respond_;
+        lease = leases_.erase(lease);
+        if (reply.answer_ != TargetAnswer::Accepted) {
+            respond(toResponse({ 0, reply.answer_, reply.clock_ }));
+            continue;
+        }
+        json::array running;
+        for (const auto& row : reply.running_)
+            running.push_back(json::array { row.name_.task_, row.name_.number_, "", row.percent_ });
+        json::array ended;
+        for (const auto& row : reply.ended_)
+            ended.push_back(json::array { row.number_, row.name_.task_, row.name_.number_, howOf(row.end_), "" });
+        respond({ .body_ = json::serialize(json::object { { "clock_ms", reply.clock_.value_or(0) }, { "born", target_.heartbeat().incarnation_.bornAt_ }, { "running", running }, { "finished", ended } }), .stream_ = {} });
+    }
+}
+
+boost::asio::awaitable<void> UsersTargetStandIn::beat()
+{
+    boost::asio::steady_timer pause(context_);
+    while (true) {
+        auto heartbeat = target_.heartbeat();
+        json::object body { { "service", "service" }, { "address", settings_.address_ }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 },
+            { "state", heartbeat.isDraining_ ? "draining" : "ready" }, { "capacity", { { "cpu", heartbeat.capacity_.milliCores_ }, { "mem_mb", heartbeat.capacity_.memoryMegabytes_ } } },
+            { "labels", { "a", "rack-1" } }, { "seq", heartbeat.sequence_ }, { "born", heartbeat.incarnation_.bornAt_ } };
+        co_await control_.exchange({ .path_ = "/lagoonpick/instances/" + settings_.id_ + "/heartbeat", .idempotencyKey_ = {}, .body_ = json::serialize(body) }, beatTimeout);
+        pause.expires_after(beatInterval);
+        co_await pause.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+void UsersTargetStandIn::waitForTimer()
+{
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        target_.advance(now());
+        answerLeases();
+        waitForTimer();
+    });
+}
+
+} // namespace Lagoonpick::StandIns
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -53,7 +53,7 @@
 struct RunWorld::Agent {
     std::size_t index_;
     std::unique_ptr<RunCore> core_;
-    std::unique_ptr<FakeRunTarget> target_;
+    std::unique_ptr<StandIns::LeasedTarget> target_;
     std::uint64_t life_ { 0 };
     bool isUp_ { false };
     Time frozenUntil_;
@@ -84,16 +84,16 @@
     for (std::size_t i = 0; i < agentCount; ++i) {
         auto agent = std::make_unique<Agent>();
         agent->index_ = i;
-        FakeRunTarget::Hooks hooks {
+        StandIns::LeasedTarget::Hooks hooks {
             [this, i](const RunName& name) { began(i, name); },
             [this, i](const RunName& name, RunEnd end) { ended(i, name, end); },
             [this](const RunName& name) {
                 Duration length = between(milliseconds(20), milliseconds(name.task_.back() % 2 ? 200 : 900));
-                return FakeRunTarget::Running { name, need, Time(length), chance(0.01) };
+                return StandIns::LeasedTarget::Running { name, need, Time(length), chance(0.01) };
             }
         };
         double clockRate = 1 - 0.02 * std::uniform_real_distribution<double>(0, 1)(random_);
-        agent->target_ = std::make_unique<FakeRunTarget>("target-" + std::to_string(i), capacity, clockRate, hooks);
+        agent->target_ = std::make_unique<StandIns::LeasedTarget>("target-" + std::to_string(i), capacity, clockRate, hooks);
         agent->target_->restart(now_);
         agents_.push_back(std::move(agent));
         startAgent(*agents_.back());
@@ -329,7 +329,7 @@
     for (const auto& start : effects.starts_) {
         auto reply = std::make_shared<std::optional<CallReply>>();
         callTarget(
-            agent, [this, &agent, start, isCurrent](FakeRunTarget& target, bool isLate) {
+            agent, [this, &agent, start, isCurrent](StandIns::LeasedTarget& target, bool isLate) {
                 CallReply answer = target.receive(start, now_, isLate);
                 if (agent.drainAcknowledgedAt_ && answer.answer_ == TargetAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainLimit)
                     report("start on a target that drains: " + start.name_.task_);
@@ -351,7 +351,7 @@
     }
     for (const auto& stop : effects.stops_) {
         callTarget(
-            agent, [this, &agent, stop, isCurrent](FakeRunTarget& target, bool isLate) {
+            agent, [this, &agent, stop, isCurrent](StandIns::LeasedTarget& target, bool isLate) {
                 CallReply answer = target.receive(stop, now_);
                 if (isLate || chance(faults_.answerLost_))
                     return;
@@ -404,7 +404,7 @@
     }
 }
 
-void RunWorld::callTarget(Agent& agent, std::function<void(FakeRunTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate)
+void RunWorld::callTarget(Agent& agent, std::function<void(StandIns::LeasedTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate)
 {
     bool isLate = canBeLate && chance(faults_.appliedLate_);
     Duration delay = isLate ? between(milliseconds(2000), milliseconds(12'000)) : targetDelay;
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonpick/Job/JobCore.h"
 #include "Lagoonpick/Run/RunCore.h"
-#include "UnitTests/Runs/FakeRunTarget.h"
+#include "StandIns/LeasedTarget.h"
 
 #include <memory>
 #include <queue>
@@ -63,7 +63,7 @@
     void tickAgent(Agent& agent);
     void applyEntry(Entry& entry);
     void applyAgent(Agent& agent);
-    void callTarget(Agent& agent, std::function<void(FakeRunTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate);
+    void callTarget(Agent& agent, std::function<void(StandIns::LeasedTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate);
     void connect(Entry& entry, Agent& agent);
     void breakLink(Link& link, bool tellEntry, bool tellAgent);
     void transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message);
