A new life of an agent opens at once: what it has to know of its target is kept in the store

Cause: after a restart an agent waited up to a heartbeat (1.5 s) before it knew its target, so that after all machines were killed nothing was served for that long; drains were known only to the life that had acknowledged them. Change: the agent keeps its target's record in the store, writes a drain there before it acknowledges it, and a new life reads it. Entries are listed five times a second at first.

--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -189,13 +189,19 @@
     tell(entry, session, { .run_ = message.run_, .end_ = RunEnd::NotStarted, .reason_ = NotStartedReason::Unknown });
 }
 
-bool RunCore::receive(const TargetHeartbeat& heartbeat, Time now)
+void RunCore::restore(const TargetHeartbeat& heartbeat, Time now)
+{
+    if (!target_.incarnation().isValid())
+        receive(heartbeat, now);
+}
+
+void RunCore::receive(const TargetHeartbeat& heartbeat, Time now)
 {
     bool wasDraining = target_.heartbeat().isDraining_;
     std::string formerId = target_.incarnation().id_;
     auto change = target_.update(heartbeat);
     if (change == TargetState::Change::None)
-        return true;
+        return;
     if (change == TargetState::Change::NewIncarnation) {
         bool isRestart = formerId == heartbeat.incarnation_.id_;
         log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.bornAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
@@ -211,7 +217,6 @@
     if (target_.heartbeat().isDraining_ && !wasDraining)
         log(LogLine("target_draining").text("target", heartbeat.incarnation_.id_).number("sequence", heartbeat.sequence_).number("running", runs_.rows().size()));
     markReportsDue();
-    return true;
 }
 
 void RunCore::depart(const std::string& target, Time)
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -51,8 +51,9 @@
     void closed(LinkId link, Time now);
     void receive(LinkId link, const Wire::RunMessage& message, Time now);
 
-    /// True if the heartbeat is understood and noted.
-    bool receive(const TargetHeartbeat& heartbeat, Time now);
+    void receive(const TargetHeartbeat& heartbeat, Time now);
+    /// Takes in what an earlier life of this agent knew of the target, unless the target has spoken since.
+    void restore(const TargetHeartbeat& heartbeat, Time now);
     void depart(const std::string& target, Time now);
     void receiveStartReply(const CallReply& reply, Time now);
     void receiveStopReply(const CallReply& reply, Time now);
--- a/RunAgent/EntryDirectory.cpp
+++ b/RunAgent/EntryDirectory.cpp
@@ -13,6 +13,9 @@
 
 /// Half of the time in which an address that was lost has to be back.
 constexpr Duration listInterval = std::chrono::milliseconds(1000);
+/// While everything starts, entries are listed as soon as they are there.
+constexpr Duration firstListInterval = std::chrono::milliseconds(200);
+constexpr int firstLists = 15;
 /// How long an address that is no longer listed is still tried.
 constexpr auto addressLifetime = std::chrono::seconds(60);
 
@@ -34,7 +37,7 @@
 boost::asio::awaitable<void> EntryDirectory::run()
 {
     boost::asio::steady_timer pause(context_);
-    while (true) {
+    for (int round = 0;; ++round) {
         auto items = co_await store_.list(std::string(entriesPrefix));
         if (items.has_value() != isReached_) {
             isReached_ = items.has_value();
@@ -46,7 +49,7 @@
             forgetOld();
             changed_();
         }
-        pause.expires_after(listInterval);
+        pause.expires_after(round < firstLists ? firstListInterval : listInterval);
         co_await pause.async_wait(boost::asio::use_awaitable);
     }
 }
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -64,6 +64,7 @@
     , store_(context, settings_.storeAddress_, storeTimeout)
     , entries_(
           context, store_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
+    , targetKeeper_(context, store_, settings_.run_.name_)
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
 }
@@ -81,6 +82,11 @@
         log_.flush();
         return fault;
     }
+    targetKeeper_.restore([this](const TargetHeartbeat& kept) {
+        log(LogLine("target_restored").text("target", kept.incarnation_.id_).flag("draining", kept.isDraining_));
+        core_.restore(kept, enter());
+        loop_.schedule();
+    });
     entries_.start();
     wantEntries();
     loop_.start();
@@ -101,7 +107,6 @@
 {
     constexpr std::uint32_t statusBadRequest = 400;
     constexpr std::uint32_t statusNotFound = 404;
-    constexpr std::uint32_t statusUnavailable = 503;
     Time now = enter();
     loop_.schedule();
     auto notice = UsersPlatform::decodeNotice(request);
@@ -111,7 +116,7 @@
     }
     if (notice->isDeparture_) {
         core_.depart(notice->id_, now);
-        respond({ .body_ = "{}", .stream_ = {} });
+        receiveHeartbeat(core_.target().heartbeat(), respond);
         return;
     }
     auto heartbeat = UsersPlatform::decodeHeartbeat(notice->id_, request.body_);
@@ -120,8 +125,20 @@
         respond({ .status_ = statusBadRequest, .body_ = "{}", .stream_ = {} });
         return;
     }
-    bool isNoted = core_.receive(heartbeat.value(), now);
-    respond({ .status_ = isNoted ? 200U : statusUnavailable, .body_ = "{}", .stream_ = {} });
+    receiveHeartbeat(heartbeat.value(), respond);
+}
+
+void RunAgentHost::receiveHeartbeat(const TargetHeartbeat& heartbeat, const HttpServer::Respond& respond)
+{
+    constexpr std::uint32_t statusUnavailable = 503;
+    core_.receive(heartbeat, enter());
+    const TargetHeartbeat& known = core_.target().heartbeat();
+    bool mustBeKept = known.isDraining_ && known.incarnation_ == heartbeat.incarnation_;
+    targetKeeper_.keep(known, [this, respond, mustBeKept](bool isKept) {
+        if (mustBeKept && !isKept)
+            log(LogLine("drain_not_acknowledged").text("why", "the store did not take the target's record"));
+        respond({ .status_ = mustBeKept && !isKept ? statusUnavailable : 200U, .body_ = "{}", .stream_ = {} });
+    });
 }
 
 void RunAgentHost::handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -13,6 +13,7 @@
 #include "platform/TargetCodec.h"
 #include "RunAgent/EntryDirectory.h"
 #include "RunAgent/RunAgentSettings.h"
+#include "RunAgent/TargetKeeper.h"
 
 namespace Lagoonpick {
 
@@ -32,6 +33,7 @@
     /// Every input goes through here first: what time it is, and whether the process stood still before it.
     Time enter();
     void handleControl(const HttpRequest& request, const HttpServer::Respond& respond);
+    void receiveHeartbeat(const TargetHeartbeat& heartbeat, const HttpServer::Respond& respond);
     void handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const;
     boost::asio::awaitable<void> startRun(TargetStart start);
     boost::asio::awaitable<void> stopRun(TargetStop stop);
@@ -59,6 +61,7 @@
     HttpClient target_;
     UsersPlatform::StoreClient store_;
     EntryDirectory entries_;
+    TargetKeeper targetKeeper_;
     HostLoop loop_;
     TimeHistogram startTimes_;
     Time nextReloadCheck_;
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -325,6 +325,36 @@
     CHECK(agent.ends()[0].reason_ == NotStartedReason::Unknown);
 }
 
+TEST_CASE("What an earlier life kept of the target opens it at once, unless it leaves or has spoken since")
+{
+    struct Row {
+        bool isDraining_;
+        bool hasSpoken_;
+        bool isOpen_;
+    };
+    auto row = GENERATE(values<Row>({ { false, false, true }, { true, false, false }, { false, true, false } }));
+    RunCore core(RunSettings { .name_ = "agent", .incarnation_ = Incarnation(7), .fencingToken_ = 100 });
+    Time now { std::chrono::hours(1) };
+    TargetHeartbeat heartbeat { .incarnation_ = { "target", 1 }, .sequence_ = 0, .service_ = "service", .availabilityZone_ = "a", .labels_ = {}, .capacity_ = { 1000, 1000, 0 } };
+    if (row.hasSpoken_) {
+        auto leaving = heartbeat;
+        leaving.sequence_ = 5;
+        leaving.isDraining_ = true;
+        core.receive(leaving, now);
+    }
+    heartbeat.isDraining_ = row.isDraining_;
+    core.restore(heartbeat, now);
+    auto leases = core.takeEffects().leases_;
+    REQUIRE(leases.size() == 1);
+    CHECK_FALSE(leases[0].leaseUntil_);
+    core.receive(LeaseReply { .call_ = leases[0].call_, .answer_ = TargetAnswer::Accepted, .clock_ = 5, .bornAt_ = 1, .running_ = {}, .ended_ = {} }, now);
+    core.opened(link, now);
+    core.receive(link, Wire::EntryHello { .incarnation_ = Incarnation(1), .name_ = "entry", .address_ = "10.0.0.1:1" }, now);
+    core.receive(link, Wire::StartRun { .run_ = 1, .task_ = "job.0.0.0", .need_ = { 1000, 10, 0 }, .waitMicroseconds_ = 1000 }, now);
+    core.tick(now);
+    CHECK(core.takeEffects().starts_.size() == (row.isOpen_ ? 1 : 0));
+}
+
 TEST_CASE("Heartbeats that were overtaken or belong to an earlier life change nothing")
 {
     struct Row {
