--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -42,7 +42,7 @@
     LinkLimits limits;
     limits.maxLinks_ = 2000;
     limits.maxBufferedBytes_ = 4'194'304;
-    limits.maxRedialDelay_ = std::chrono::milliseconds(500);
+    limits.maxRedialDelay_ = std::chrono::milliseconds(250);
     limits.handshakeTimeout_ = std::chrono::milliseconds(500);
     return limits;
 }
--- a/Lagoonpick/Transport/FrameHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -18,8 +18,20 @@
 
 namespace {
 
+/// As the library's, but gives up a connection attempt soon: the opening packet to an instance that is just starting is
+/// lost, and the system repeats it only after a second.
+struct ClientConfig : websocketpp::config::asio_client {
+    using type = ClientConfig;
+    using base = websocketpp::config::asio_client;
+    struct transport_config : base::transport_config {
+        /// In milliseconds: many times a round trip within a region.
+        static const long timeout_connect = 200;
+    };
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+};
+
 using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
 template <typename Endpoint>
