Revert: tasks that can still end in time begin before late ones

Cause: a late task is mostly the last of a job whose others are done; put last, it starves and their work is thrown away. Due order stays.

--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -17,8 +17,6 @@
 constexpr Duration noRoomPause = std::chrono::milliseconds(10);
 /// How far a fencing token is raised once a higher one was met: beyond any step of the clock it was made from.
 constexpr std::uint64_t tokenStep = 3'600'000;
-/// When a task has to begin is known only about as well as how long it takes; it counts as late a little after.
-constexpr Duration latenessTolerance = std::chrono::milliseconds(20);
 /// An end that an entry does not confirm is kept in this number at most.
 constexpr std::size_t maxUnconfirmed = 4096;
 constexpr std::size_t maxToldEntries = 1024;
@@ -244,22 +242,18 @@
     return target_.takesWork() && hasLeaseAnswer_ && !isLeaseLost_ && !isClosing_ && orphans_.empty();
 }
 
-/// Answers the load pattern of more tasks than can end in time: those that still can go first, the earliest due before
-/// the others, and those that are late by now get what room is left. Due order alone would have the late ones make all
-/// others late as well.
-RunCore::RunId RunCore::nextToStart(Time now) const
+RunCore::RunId RunCore::nextToStart() const
 {
     const Wire::Resources used = runs_.used();
     const Wire::Resources& capacity = target_.heartbeat().capacity_;
     RunId best = 0;
-    std::pair<bool, Time> bestKey;
+    const Run* bestRun = nullptr;
     for (const auto& [id, run] : runs_.rows()) {
         if (run.phase_ != RunPhase::Queued || !hasRoom(capacity, used, run.need_))
             continue;
-        std::pair<bool, Time> key { run.due_ + latenessTolerance < now, run.due_ };
-        if (!best || key < bestKey) {
+        if (!bestRun || run.due_ < bestRun->due_) {
             best = id;
-            bestKey = key;
+            bestRun = &run;
         }
     }
     return best;
@@ -269,7 +263,7 @@
 {
     if (!isOpen() || now < noRoomUntil_)
         return;
-    for (RunId id = nextToStart(now); id; id = nextToStart(now))
+    for (RunId id = nextToStart(); id; id = nextToStart())
         start(id, *runs_.find(id), now);
 }
 
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -92,7 +92,7 @@
 
     bool isOpen() const;
     void startWhatFits(Time now);
-    RunId nextToStart(Time now) const;
+    RunId nextToStart() const;
     void start(RunId id, Run& run, Time now);
     void requestStop(RunId id, Run& run, Wire::NotStartedReason reason, Time now);
     void sendStop(RunId id, Run& run, Time now);
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -28,7 +28,7 @@
     Duration work_ {};
     /// Dropped if it has not begun by then.
     Time waitUntil_;
-    /// When it has to begin to end in time.
+    /// When it should have ended.
     Time due_;
     RunPhase phase_ { RunPhase::Queued };
     /// The target has said that it runs.
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -100,7 +100,7 @@
     std::uint64_t workMicroseconds_ { 0 };
     /// How long the task may wait for room; 0 if it is to be returned at once should there be none.
     std::uint64_t waitMicroseconds_ { 0 };
-    /// When the task has to begin to end in time, from now on; negative if that is past.
+    /// When the task should have ended, from now on; negative if that is past.
     std::int64_t dueInMicroseconds_ { 0 };
     bool operator==(const StartRun&) const = default;
 };
