--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-/// A job that is expected to end this many times later than it should is of no use to its caller.
+/// A job that is expected to take this many times as long as it should is rejected: it would be late, and make others late.
+constexpr double maxExpectedLateness = 1.1;
+/// A job that was taken may wait longer, since what was expected of it was uncertain.
 constexpr double maxLateness = 1.4;
 /// The least time that a task may wait for room, so that two entries that chose the same target don't both start over.
 constexpr Duration minWait = std::chrono::milliseconds(30);
@@ -180,7 +182,7 @@
         best->load_.committed_ = best->load_.committed_ + job.request_.need_;
         latest = std::max(latest, earliest);
     }
-    auto limit = Duration(static_cast<Duration::rep>(maxLateness * static_cast<double>((job.due_ - now).count())));
+    auto limit = Duration(static_cast<Duration::rep>(maxExpectedLateness * static_cast<double>((job.due_ - now).count())));
     if (latest > limit || now + latest > job.deadline_)
         return JobRefusal::Overloaded;
     return JobRefusal::None;
