A refusal no longer shortens a longer pause of its target; names of the two interfaces' calls are apart

EntryCoreTest, 'A refusal does not shorten ...': failed with 5 starts instead of 4 (a 20 ms pause replaced the 5 s of a stalled target), passes with the later of the two. StartCall, StopCall, CallAnswer: the run agent's types had the names of the own interface's, in one namespace.

--- a/Lagoonpick/Dispatch/Home.cpp
+++ b/Lagoonpick/Dispatch/Home.cpp
@@ -395,7 +395,8 @@
     TargetIndex from = targets_.findByLink(link);
     if (findCurrent(refusal.key_, refusal.attempt_, from)) {
         JobIndex job = jobs_.find(refusal.key_.submission_);
-        targets_.loadOf(from).avoidUntil_ = now + pauseAfter(refusal.reason_);
+        Time& avoidUntil = targets_.loadOf(from).avoidUntil_;
+        avoidUntil = std::max(avoidUntil, now + pauseAfter(refusal.reason_));
         if (!isWorthRetry(refusal.reason_))
             stop(job);
         retryOrSettle(job, refusal.key_.task_);
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -290,7 +290,7 @@
         return;
     bool isStarting = run->phase_ == RunPhase::Starting;
     switch (reply.answer_) {
-    case TargetAnswer::Accepted:
+    case CallAnswer::Accepted:
         run->isConfirmed_ = true;
         run->answeredAt_ = now;
         if (isStarting) {
@@ -298,7 +298,7 @@
             ++counters_.started_;
         }
         return;
-    case TargetAnswer::NoAnswer:
+    case CallAnswer::NoAnswer:
         ++counters_.startsUnanswered_;
         if (isStarting) {
             log(LogLine("start_unanswered").text("task", run->name_.task_).number("number", run->name_.number_).milliseconds("after_ms", now - run->startSentAt_));
@@ -306,23 +306,23 @@
             renewLease(Duration(), now);
         }
         return;
-    case TargetAnswer::Fenced:
+    case CallAnswer::Fenced:
         raiseToken(now);
         break;
-    case TargetAnswer::NoRoom:
+    case CallAnswer::NoRoom:
         ++counters_.startsWithoutRoom_;
         noRoomUntil_ = now + noRoomPause;
         break;
-    case TargetAnswer::Late:
+    case CallAnswer::Late:
         break;
-    case TargetAnswer::OldNumber:
+    case CallAnswer::OldNumber:
         end(reply.call_, RunEnd::NotStarted, NotStartedReason::OldNumber, now);
         return;
-    case TargetAnswer::WrongTarget:
+    case CallAnswer::WrongTarget:
         end(reply.call_, RunEnd::NotStarted, NotStartedReason::TargetUnavailable, now);
         return;
-    case TargetAnswer::Rejected:
-    case TargetAnswer::Malformed:
+    case CallAnswer::Rejected:
+    case CallAnswer::Malformed:
         monitor_.recordFailure(jobOf(run->name_.task_));
         end(reply.call_, RunEnd::NotStarted, NotStartedReason::Rejected, now);
         return;
@@ -379,9 +379,9 @@
 void RunCore::receiveStopReply(const CallReply& reply, Time now)
 {
     Run* run = runs_.find(reply.call_);
-    if (reply.answer_ == TargetAnswer::Fenced)
+    if (reply.answer_ == CallAnswer::Fenced)
         raiseToken(now);
-    if (!run || run->phase_ != RunPhase::Stopping || reply.answer_ != TargetAnswer::Accepted)
+    if (!run || run->phase_ != RunPhase::Stopping || reply.answer_ != CallAnswer::Accepted)
         return;
     run->isStopAnswered_ = true;
     run->answeredAt_ = now;
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -19,8 +19,8 @@
 struct RunEffects {
     std::vector<OutgoingRunMessage> messages_;
     std::vector<LinkId> linksToAbort_;
-    std::vector<TargetStart> starts_;
-    std::vector<TargetStop> stops_;
+    std::vector<StartCall> starts_;
+    std::vector<StopCall> stops_;
     std::vector<LeaseCall> leases_;
     std::vector<LogLine> log_;
 };
--- a/Lagoonpick/Run/RunCoreLease.cpp
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -55,14 +55,14 @@
     PendingLease sent = pending->second;
     pendingLeases_.erase(pending);
     switch (reply.answer_) {
-    case TargetAnswer::Accepted:
+    case CallAnswer::Accepted:
         break;
-    case TargetAnswer::Fenced:
+    case CallAnswer::Fenced:
         if (sent.tokenUsed_ == fencingToken_)
             raiseToken(now);
         keepLease(now);
         return;
-    case TargetAnswer::WrongTarget:
+    case CallAnswer::WrongTarget:
         log(LogLine("target_changed").text("expected", target_.incarnation().id_));
         loseAll("target_changed", now);
         hasLeaseAnswer_ = false;
--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -40,7 +40,7 @@
 };
 
 /// A start to be sent. `call_` comes back with its reply.
-struct TargetStart {
+struct StartCall {
     std::uint64_t call_ { 0 };
     RunName name_;
     std::string payload_;
@@ -51,7 +51,7 @@
 };
 
 /// How a target answered a call.
-enum class TargetAnswer : std::uint8_t {
+enum class CallAnswer : std::uint8_t {
     Accepted,
     /// A higher fencing token was used before.
     Fenced,
@@ -73,13 +73,13 @@
 /// The end of a call that starts or stops a run.
 struct CallReply {
     std::uint64_t call_ { 0 };
-    TargetAnswer answer_ { TargetAnswer::NoAnswer };
+    CallAnswer answer_ { CallAnswer::NoAnswer };
     /// The target's clock in its milliseconds, if it said.
     std::optional<std::int64_t> clock_;
 };
 
 /// A stop to be sent. `call_` comes back with its reply.
-struct TargetStop {
+struct StopCall {
     std::uint64_t call_ { 0 };
     RunName name_;
     std::uint64_t fencingToken_ { 0 };
@@ -114,7 +114,7 @@
 
 struct LeaseReply {
     std::uint64_t call_ { 0 };
-    TargetAnswer answer_ { TargetAnswer::NoAnswer };
+    CallAnswer answer_ { CallAnswer::NoAnswer };
     std::optional<std::int64_t> clock_;
     /// 0 if the target did not say.
     std::uint64_t bornAt_ { 0 };
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -149,7 +149,7 @@
         .stream_ = {} });
 }
 
-boost::asio::awaitable<void> RunAgentHost::startRun(TargetStart start)
+boost::asio::awaitable<void> RunAgentHost::startRun(StartCall start)
 {
     Time sentAt = clock_.now();
     Exchange exchange = co_await target_.exchange(UsersPlatform::encode(start), startTimeout);
@@ -159,7 +159,7 @@
     loop_.schedule();
 }
 
-boost::asio::awaitable<void> RunAgentHost::stopRun(TargetStop stop)
+boost::asio::awaitable<void> RunAgentHost::stopRun(StopCall stop)
 {
     Exchange exchange = co_await target_.exchange(UsersPlatform::encode(stop), startTimeout);
     core_.receiveStopReply(UsersPlatform::decodeCallReply(stop.call_, exchange), enter());
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -35,8 +35,8 @@
     void handleControl(const HttpRequest& request, const HttpServer::Respond& respond);
     void receiveHeartbeat(const TargetHeartbeat& heartbeat, const HttpServer::Respond& respond);
     void handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const;
-    boost::asio::awaitable<void> startRun(TargetStart start);
-    boost::asio::awaitable<void> stopRun(TargetStop stop);
+    boost::asio::awaitable<void> startRun(StartCall start);
+    boost::asio::awaitable<void> stopRun(StopCall stop);
     boost::asio::awaitable<void> renewLease(LeaseCall call);
     void tick();
     void applyEffects();
--- a/StandIns/LeasedTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -47,23 +47,23 @@
     hooks_.ended_(name, end);
 }
 
-CallReply LeasedTarget::receive(const TargetStart& start, Time now, bool isLate)
+CallReply LeasedTarget::receive(const StartCall& start, Time now, bool isLate)
 {
     advance(now);
-    CallReply reply { start.call_, TargetAnswer::Accepted, clock(now) };
+    CallReply reply { start.call_, CallAnswer::Accepted, clock(now) };
     auto highest = highest_.find(start.name_.task_);
     Wire::Resources used;
     for (const auto& [name, run] : running_)
         used = used + (run.isLate_ ? Wire::Resources() : run.need_);
     Running run = hooks_.describe_(start.name_);
     if (start.fencingToken_ < fencingToken_)
-        reply.answer_ = TargetAnswer::Fenced;
+        reply.answer_ = CallAnswer::Fenced;
     else if (running_.contains(start.name_))
-        reply.answer_ = TargetAnswer::Accepted;
+        reply.answer_ = CallAnswer::Accepted;
     else if (start.leaseUntil_ < clock(now))
-        reply.answer_ = TargetAnswer::Late;
+        reply.answer_ = CallAnswer::Late;
     else if (highest != highest_.end() && highest->second >= start.name_.number_)
-        reply.answer_ = TargetAnswer::OldNumber;
+        reply.answer_ = CallAnswer::OldNumber;
     else {
         fencingToken_ = start.fencingToken_;
         leaseUntil_ = std::max(leaseUntil_, std::min(start.leaseUntil_, clock(now) + maxLeaseMs));
@@ -77,12 +77,12 @@
     return reply;
 }
 
-CallReply LeasedTarget::receive(const TargetStop& stop, Time now)
+CallReply LeasedTarget::receive(const StopCall& stop, Time now)
 {
     advance(now);
-    CallReply reply { stop.call_, TargetAnswer::Accepted, clock(now) };
+    CallReply reply { stop.call_, CallAnswer::Accepted, clock(now) };
     if (stop.fencingToken_ < fencingToken_) {
-        reply.answer_ = TargetAnswer::Fenced;
+        reply.answer_ = CallAnswer::Fenced;
         return reply;
     }
     fencingToken_ = stop.fencingToken_;
@@ -96,9 +96,9 @@
 LeaseReply LeasedTarget::receive(const LeaseCall& call, Time now)
 {
     advance(now);
-    LeaseReply reply { .call_ = call.call_, .answer_ = TargetAnswer::Accepted, .clock_ = clock(now), .bornAt_ = bornCount_, .running_ = {}, .ended_ = {} };
+    LeaseReply reply { .call_ = call.call_, .answer_ = CallAnswer::Accepted, .clock_ = clock(now), .bornAt_ = bornCount_, .running_ = {}, .ended_ = {} };
     if (call.fencingToken_ < fencingToken_) {
-        reply.answer_ = TargetAnswer::Fenced;
+        reply.answer_ = CallAnswer::Fenced;
         return reply;
     }
     fencingToken_ = call.fencingToken_;
--- a/StandIns/LeasedTarget.h
+++ b/StandIns/LeasedTarget.h
@@ -34,8 +34,8 @@
 
     /// `isLate`: carried out seconds after it was sent. No agent can know of such a run before it is listed, so it does not
     /// count against the room.
-    CallReply receive(const TargetStart& start, Time now, bool isLate);
-    CallReply receive(const TargetStop& stop, Time now);
+    CallReply receive(const StartCall& start, Time now, bool isLate);
+    CallReply receive(const StopCall& stop, Time now);
     LeaseReply receive(const LeaseCall& call, Time now);
 
     /// Everything is lost; it begins anew under the same id.
--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -24,14 +24,14 @@
     return place == std::string::npos ? otherwise : static_cast<std::uint32_t>(std::stoul("0" + payload.substr(place + name.size() + 1)));
 }
 
-std::string_view reasonOf(TargetAnswer answer)
+std::string_view reasonOf(CallAnswer answer)
 {
     switch (answer) {
-    case TargetAnswer::Fenced:
+    case CallAnswer::Fenced:
         return "fence";
-    case TargetAnswer::OldNumber:
+    case CallAnswer::OldNumber:
         return "old";
-    case TargetAnswer::Late:
+    case CallAnswer::Late:
         return "late";
     default:
         return "room";
@@ -41,7 +41,7 @@
 HttpResponse toResponse(const CallReply& reply)
 {
     json::object body { { "clock_ms", reply.clock_.value_or(0) } };
-    if (reply.answer_ == TargetAnswer::Accepted)
+    if (reply.answer_ == CallAnswer::Accepted)
         return { .body_ = json::serialize(body), .stream_ = {} };
     body["reason"] = reasonOf(reply.answer_);
     return { .status_ = 409, .body_ = json::serialize(body), .stream_ = {} };
@@ -121,7 +121,7 @@
     RunName name { text("task"), static_cast<std::uint32_t>(number("run")) };
     if (request.path_ == "/lagoonpick/run-start") {
         payloads_[name.task_] = text("spec");
-        TargetStart start { 0, name, text("spec"), number("deadline_ms"), token, {} };
+        StartCall start { 0, name, text("spec"), number("deadline_ms"), token, {} };
         if (std::exchange(isNextStartLate_, false)) {
             auto timer = std::make_shared<boost::asio::steady_timer>(context_, lateBy);
             timer->async_wait([this, timer, start](const boost::system::error_code&) { target_.receive(start, now(), true); });
@@ -129,7 +129,7 @@
         }
         respond(toResponse(target_.receive(start, now(), false)));
     } else if (request.path_ == "/lagoonpick/run-stop") {
-        respond(toResponse(target_.receive(TargetStop { 0, name, token, {} }, now())));
+        respond(toResponse(target_.receive(StopCall { 0, name, token, {} }, now())));
     } else if (request.path_ == "/lagoonpick/hold") {
         LeaseCall call { .call_ = 0, .leaseUntil_ = {}, .fencingToken_ = token, .endsSeen_ = static_cast<std::uint64_t>(number("ack_seq")), .wait_ = {}, .expectedTarget_ = {} };
         if (body.contains("deadline_ms"))
@@ -152,7 +152,7 @@
         auto reply = target_.receive(LeaseCall { .fencingToken_ = lease->call_.fencingToken_, .endsSeen_ = lease->call_.endsSeen_ }, now());
         auto respond = lease->respond_;
         lease = leases_.erase(lease);
-        if (reply.answer_ != TargetAnswer::Accepted) {
+        if (reply.answer_ != CallAnswer::Accepted) {
             respond(toResponse({ 0, reply.answer_, reply.clock_ }));
             continue;
         }
--- a/UnitTests/Dispatch/EntryCoreTest.cpp
+++ b/UnitTests/Dispatch/EntryCoreTest.cpp
@@ -270,6 +270,21 @@
     CHECK(bench.starts_.back().attempt_ == 2);
 }
 
+TEST_CASE("A refusal does not shorten the pause of a target that is left alone for longer", "[EntryCore]")
+{
+    Bench bench;
+    auto id = bench.issue();
+    bench.ask(Submit, id, jobOf(4));
+    for (int i = 0; i < 30; ++i)
+        bench.advance(milliseconds(100));
+    REQUIRE(countOf(bench, Wire::Recall {}) == 1);
+    bench.core_.receive(bench.now_, bench.link_, Wire::Refusal { .key_ = { id, 3 }, .attempt_ = 1, .reason_ = Wire::RefusalReason::QueueFull, .load_ = { .slots_ = 2 } });
+    bench.advance(seconds(1));
+    CHECK(bench.starts_.size() == 4);
+    bench.advance(seconds(5));
+    CHECK(bench.starts_.size() == 5);
+}
+
 TEST_CASE("A job that would wait too long is refused at once, with a time to come back", "[EntryCore]")
 {
     struct Row {
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -41,7 +41,7 @@
     {
         reply.clock_ = 1000;
         reply.bornAt_ = reply.bornAt_ ? reply.bornAt_ : 1;
-        reply.answer_ = TargetAnswer::Accepted;
+        reply.answer_ = CallAnswer::Accepted;
         answerLeases(reply);
     }
 
@@ -61,7 +61,7 @@
         pass({});
     }
 
-    void reply(std::size_t start, TargetAnswer answer)
+    void reply(std::size_t start, CallAnswer answer)
     {
         core_.receiveStartReply({ starts_.at(start).call_, answer, 1000 }, now_);
         pass({});
@@ -108,8 +108,8 @@
     std::uint64_t sequence_ { 0 };
     std::size_t answered_ { 0 };
     std::vector<OutgoingRunMessage> messages_;
-    std::vector<TargetStart> starts_;
-    std::vector<TargetStop> stops_;
+    std::vector<StartCall> starts_;
+    std::vector<StopCall> stops_;
     std::vector<LeaseCall> leases_;
     std::vector<LinkId> aborted_;
 };
@@ -123,7 +123,7 @@
     agent.startRun(1);
     REQUIRE(agent.starts_.size() == 1);
     CHECK(agent.starts_[0].leaseUntil_ == 1700);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, end } } });
     REQUIRE(agent.ends().size() == 1);
     CHECK(agent.ends()[0].end_ == expected);
@@ -134,7 +134,7 @@
 TEST_CASE("What a target answers to a start decides what becomes of the run")
 {
     struct Row {
-        TargetAnswer answer_;
+        CallAnswer answer_;
         /// Ends at once with this, if set.
         std::optional<NotStartedReason> reason_;
         bool isStopped_;
@@ -142,13 +142,13 @@
     };
     // No answer at all: the next test.
     auto row = GENERATE(values<Row>({
-        { TargetAnswer::OldNumber, NotStartedReason::OldNumber, false, false },
-        { TargetAnswer::Rejected, NotStartedReason::Rejected, false, false },
-        { TargetAnswer::Malformed, NotStartedReason::Rejected, false, false },
-        { TargetAnswer::WrongTarget, NotStartedReason::TargetUnavailable, false, false },
-        { TargetAnswer::Fenced, {}, false, true },
-        { TargetAnswer::Late, {}, false, true },
-        { TargetAnswer::NoAnswer, {}, false, false },
+        { CallAnswer::OldNumber, NotStartedReason::OldNumber, false, false },
+        { CallAnswer::Rejected, NotStartedReason::Rejected, false, false },
+        { CallAnswer::Malformed, NotStartedReason::Rejected, false, false },
+        { CallAnswer::WrongTarget, NotStartedReason::TargetUnavailable, false, false },
+        { CallAnswer::Fenced, {}, false, true },
+        { CallAnswer::Late, {}, false, true },
+        { CallAnswer::NoAnswer, {}, false, false },
     }));
     AgentAtWork agent;
     agent.startRun(1);
@@ -158,7 +158,7 @@
         CHECK(agent.ends()[0].reason_ == *row.reason_);
     CHECK(agent.stops_.size() == (row.isStopped_ ? 1 : 0));
     CHECK(agent.starts_.size() == (row.isSentAgain_ ? 2 : 1));
-    if (row.answer_ == TargetAnswer::Fenced)
+    if (row.answer_ == CallAnswer::Fenced)
         CHECK(agent.starts_[1].fencingToken_ > agent.starts_[0].fencingToken_);
 }
 
@@ -166,7 +166,7 @@
 {
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::NoAnswer);
+    agent.reply(0, CallAnswer::NoAnswer);
     CHECK(agent.stops_.empty());
     CHECK(agent.leases_.back().wait_ == Duration());
     agent.answerLease({ .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
@@ -182,7 +182,7 @@
     auto isLookAnswered = GENERATE(true, false);
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::NoAnswer);
+    agent.reply(0, CallAnswer::NoAnswer);
     if (isLookAnswered)
         agent.answerLease({});
     else
@@ -191,7 +191,7 @@
     agent.answerLease({});
     CHECK(agent.ends().empty());
     agent.now_ += milliseconds(1);
-    agent.core_.receiveStopReply({ agent.stops_[0].call_, TargetAnswer::Accepted, {} }, agent.now_);
+    agent.core_.receiveStopReply({ agent.stops_[0].call_, CallAnswer::Accepted, {} }, agent.now_);
     // Sent before the stop was answered: proves nothing.
     agent.answerLease({});
     CHECK(agent.ends().empty());
@@ -207,7 +207,7 @@
 {
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.core_.receive(link, Wire::StopRun { 1 }, agent.now_);
     agent.collect();
     REQUIRE(agent.stops_.size() == 1);
@@ -228,7 +228,7 @@
     CHECK(agent.ends()[0].run_ == 5);
     CHECK(agent.ends()[0].reason_ == NotStartedReason::NoRoom);
     CHECK(std::holds_alternative<Wire::TargetReport>(agent.messages_[agent.messages_.size() - 2].message_));
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
     agent.pass({});
     REQUIRE(agent.starts_.size() == 3);
@@ -267,7 +267,7 @@
     auto silence = GENERATE(values<int>({ 300, 600 }));
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.core_.closed(link, agent.now_);
     agent.pass(milliseconds(silence));
     CHECK(agent.stops_.size() == (silence > 500 ? 1 : 0));
@@ -281,7 +281,7 @@
 {
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.now_ += std::chrono::seconds(2);
     agent.core_.resume(std::chrono::seconds(2), agent.now_);
     agent.collect();
@@ -329,10 +329,10 @@
 {
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     for (int i = 0; i < 3; ++i) {
         agent.passWithPulses(milliseconds(300));
-        agent.answerLeases({ .answer_ = TargetAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} });
+        agent.answerLeases({ .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} });
         agent.passWithPulses(milliseconds(100));
     }
     CHECK_FALSE(agent.leases_.back().leaseUntil_);
@@ -344,7 +344,7 @@
 {
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.answerLease({ .bornAt_ = 2, .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
     CHECK(agent.ends().empty());
     CHECK(agent.stops_.empty());
@@ -355,7 +355,7 @@
     auto isConfirmed = GENERATE(false, true);
     AgentAtWork agent;
     agent.startRun(1);
-    agent.reply(0, TargetAnswer::Accepted);
+    agent.reply(0, CallAnswer::Accepted);
     agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
     if (isConfirmed)
         agent.core_.receive(link, Wire::Pulse { .endsSeen_ = 1 }, agent.now_);
@@ -397,7 +397,7 @@
     auto leases = core.takeEffects().leases_;
     REQUIRE(leases.size() == 1);
     CHECK_FALSE(leases[0].leaseUntil_);
-    core.receive(LeaseReply { .call_ = leases[0].call_, .answer_ = TargetAnswer::Accepted, .clock_ = 5, .bornAt_ = 1, .running_ = {}, .ended_ = {} }, now);
+    core.receive(LeaseReply { .call_ = leases[0].call_, .answer_ = CallAnswer::Accepted, .clock_ = 5, .bornAt_ = 1, .running_ = {}, .ended_ = {} }, now);
     core.opened(link, now);
     core.receive(link, Wire::EntryHello { .incarnation_ = Incarnation(1), .name_ = "entry", .address_ = "10.0.0.1:1" }, now);
     core.receive(link, Wire::StartRun { .run_ = 1, .task_ = "job.0.0.0", .need_ = { 1000, 10, 0 }, .waitMicroseconds_ = 1000 }, now);
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -331,7 +331,7 @@
         callTarget(
             agent, [this, &agent, start, isCurrent](StandIns::LeasedTarget& target, bool isLate) {
                 CallReply answer = target.receive(start, now_, isLate);
-                if (agent.drainAcknowledgedAt_ && answer.answer_ == TargetAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainLimit)
+                if (agent.drainAcknowledgedAt_ && answer.answer_ == CallAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainLimit)
                     report("start on a target that drains: " + start.name_.task_);
                 if (isLate || chance(faults_.answerLost_))
                     return;
@@ -343,7 +343,7 @@
                 }); },
             [this, &agent, start, isCurrent] {
                 if (isCurrent()) {
-                    agent.core_->receiveStartReply({ start.call_, TargetAnswer::NoAnswer, {} }, now_);
+                    agent.core_->receiveStartReply({ start.call_, CallAnswer::NoAnswer, {} }, now_);
                     applyAgent(agent);
                 }
             },
@@ -398,7 +398,7 @@
             if (!isCurrent() || *isAnswered)
                 return;
             *isAnswered = true;
-            agent.core_->receive(LeaseReply { .call_ = call.call_, .answer_ = TargetAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, now_);
+            agent.core_->receive(LeaseReply { .call_ = call.call_, .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, now_);
             applyAgent(agent);
         });
     }
--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -142,22 +142,22 @@
         ExchangeStage stage_;
         std::uint32_t status_;
         std::string body_;
-        TargetAnswer answer_;
+        CallAnswer answer_;
     };
     auto row = GENERATE(values<Row>({
-        { ExchangeStage::Answered, 200, R"({"clock_ms":5})", TargetAnswer::Accepted },
-        { ExchangeStage::Answered, 200, "half a bo", TargetAnswer::NoAnswer },
-        { ExchangeStage::Answered, 409, R"({"clock_ms":5,"reason":"fence"})", TargetAnswer::Fenced },
-        { ExchangeStage::Answered, 409, R"({"reason":"old"})", TargetAnswer::OldNumber },
-        { ExchangeStage::Answered, 409, R"({"reason":"late"})", TargetAnswer::Late },
-        { ExchangeStage::Answered, 409, R"({"reason":"room"})", TargetAnswer::NoRoom },
-        { ExchangeStage::Answered, 409, "", TargetAnswer::Rejected },
-        { ExchangeStage::Answered, 421, "", TargetAnswer::WrongTarget },
-        { ExchangeStage::Answered, 429, "", TargetAnswer::Rejected },
-        { ExchangeStage::Answered, 503, "", TargetAnswer::Rejected },
-        { ExchangeStage::Answered, 400, "", TargetAnswer::Malformed },
-        { ExchangeStage::Written, 0, "", TargetAnswer::NoAnswer },
-        { ExchangeStage::NotWritten, 0, "", TargetAnswer::NoAnswer },
+        { ExchangeStage::Answered, 200, R"({"clock_ms":5})", CallAnswer::Accepted },
+        { ExchangeStage::Answered, 200, "half a bo", CallAnswer::NoAnswer },
+        { ExchangeStage::Answered, 409, R"({"clock_ms":5,"reason":"fence"})", CallAnswer::Fenced },
+        { ExchangeStage::Answered, 409, R"({"reason":"old"})", CallAnswer::OldNumber },
+        { ExchangeStage::Answered, 409, R"({"reason":"late"})", CallAnswer::Late },
+        { ExchangeStage::Answered, 409, R"({"reason":"room"})", CallAnswer::NoRoom },
+        { ExchangeStage::Answered, 409, "", CallAnswer::Rejected },
+        { ExchangeStage::Answered, 421, "", CallAnswer::WrongTarget },
+        { ExchangeStage::Answered, 429, "", CallAnswer::Rejected },
+        { ExchangeStage::Answered, 503, "", CallAnswer::Rejected },
+        { ExchangeStage::Answered, 400, "", CallAnswer::Malformed },
+        { ExchangeStage::Written, 0, "", CallAnswer::NoAnswer },
+        { ExchangeStage::NotWritten, 0, "", CallAnswer::NoAnswer },
     }));
     auto reply = decodeCallReply(9, { row.stage_, row.status_, row.body_ });
     CHECK(reply.answer_ == row.answer_);
@@ -193,7 +193,7 @@
 
 TEST_CASE("Calls to a target carry what it needs and nothing that is not set")
 {
-    auto start = encode(TargetStart { 1, { "a.0.0.1", 2 }, "text", 486000, 7, "i-7" });
+    auto start = encode(StartCall { 1, { "a.0.0.1", 2 }, "text", 486000, 7, "i-7" });
     CHECK(start.path_ == "/lagoonpick/run-start");
     CHECK(start.body_ == R"({"task":"a.0.0.1","run":2,"spec":"text","deadline_ms":486000,"fencing_token":7})");
     CHECK(start.headers_ == std::vector<HttpHeader> { { "Lagoonpick-Expect-Instance", "i-7" } });
