--- a/Lagoonpick/Dispatch/EntryCore.cpp
+++ b/Lagoonpick/Dispatch/EntryCore.cpp
@@ -26,9 +26,6 @@
 
 constexpr Duration reviewInterval = std::chrono::milliseconds(10);
 
-/// How often every target is looked at.
-constexpr Duration sweepInterval = std::chrono::milliseconds(100);
-
 bool isForwarded(RequestId request)
 {
     return toUnderlying(request) >= firstForwardedRequest;
@@ -213,102 +210,6 @@
     }
 }
 
-void EntryCore::refuse(RequestId request, const SubmissionId& id, const Problem& problem)
-{
-    effects_.audit_.push_back({ .event_ = AuditEvent::RequestRefused, .submission_ = id, .detail_ = std::string(problem.kind_) });
-    effects_.replies_.push_back(writeProblem(request, problem));
-}
-
-void EntryCore::linkOpened(Time now, LinkId link)
-{
-    links_[toUnderlying(link)] = { .lastHeard_ = now };
-    send(link, Wire::Hello { .role_ = Role::Entry, .incarnation_ = incarnation_, .name_ = settings_.name_, .availabilityZone_ = settings_.availabilityZone_ });
-}
-
-void EntryCore::linkClosed(LinkId link)
-{
-    auto found = links_.find(toUnderlying(link));
-    if (found == links_.end())
-        return;
-    home_.agentLost(link);
-    auto peer = peers_.find(found->second.incarnation_);
-    if (peer != peers_.end() && peer->second == link)
-        peers_.erase(peer);
-    links_.erase(found);
-}
-
-void EntryCore::closeLink(LinkId link)
-{
-    linkClosed(link);
-    effects_.linksToClose_.push_back(link);
-}
-
-void EntryCore::receive(Time now, LinkId link, const Wire::Message& message)
-{
-    auto found = links_.find(toUnderlying(link));
-    if (found == links_.end())
-        return;
-    found->second.lastHeard_ = now;
-    ++messageCounts_[message.index()];
-    if (const auto* hello = std::get_if<Wire::Hello>(&message)) {
-        greet(now, link, *hello);
-        return;
-    }
-    if (!found->second.isGreeted_) {
-        closeLink(link);
-        return;
-    }
-    bool isFromAgent = home_.isAgent(link);
-    std::visit([&](const auto& alternative) {
-        if constexpr (requires { home_.receive(now, link, alternative); }) {
-            if (isFromAgent)
-                home_.receive(now, link, alternative);
-        } else if constexpr (requires { handle(now, link, alternative); }) {
-            handle(now, link, alternative);
-        } else {
-            closeLink(link);
-        }
-    },
-        message);
-}
-
-void EntryCore::greet(Time now, LinkId link, const Wire::Hello& hello)
-{
-    Link& state = links_[toUnderlying(link)];
-    bool isUsable = hello.version_ == Wire::protocolVersion && hello.incarnation_.isValid() && !state.isGreeted_
-        && hello.incarnation_ != incarnation_;
-    if (!isUsable) {
-        closeLink(link);
-        return;
-    }
-    state.isGreeted_ = true;
-    state.role_ = hello.role_;
-    state.incarnation_ = hello.incarnation_;
-    state.name_ = hello.name_;
-    if (!keepNewest(link, hello.incarnation_))
-        return;
-    if (hello.role_ == Role::Agent) {
-        for (const auto& fenced : view_->membership_.fenced_)
-            send(link, Wire::Fence { fenced.incarnation_ });
-        home_.agentGreeted(now, link, hello);
-        return;
-    }
-    for (auto& message : forwards_.waitingFor(hello.incarnation_))
-        send(link, std::move(message));
-}
-
-bool EntryCore::keepNewest(LinkId link, Incarnation incarnation)
-{
-    auto [known, isNew] = peers_.emplace(incarnation, link);
-    if (isNew)
-        return true;
-    // What is left on an older connection may be read after the newer one's greeting.
-    LinkId older = std::min(known->second, link);
-    known->second = std::max(known->second, link);
-    closeLink(older);
-    return older != link;
-}
-
 void EntryCore::handle(Time now, LinkId link, const Wire::Forward& message)
 {
     auto request = RequestId(firstForwardedRequest + nextForwarded_++);
@@ -329,53 +230,10 @@
     effects_.replies_.push_back({ .request_ = forward->request_, .status_ = message.status_, .retryAfterSeconds_ = message.retryAfterSeconds_, .body_ = message.body_ });
 }
 
-void EntryCore::handle(Time, LinkId link, const Wire::FenceAck& message)
-{
-    const Link& agent = links_[toUnderlying(link)];
-    fences_.acknowledge(message.incarnation_, agent.name_, agent.incarnation_);
-}
-
-void EntryCore::handle(Time, LinkId link, const Wire::Collected& message)
-{
-    auto settlement = settlements_.find(message.submission_);
-    if (settlement != settlements_.end())
-        settlement->second.collect(links_[toUnderlying(link)].incarnation_, message);
-}
-
-void EntryCore::handle(Time, LinkId, const Wire::Heartbeat&)
-{
-}
-
-void EntryCore::viewChanged(Time, std::shared_ptr<const PlatformView> view, bool isFresh)
-{
-    auto previous = std::exchange(view_, std::move(view));
-    isViewFresh_ = isFresh;
-    mustReview_ = true;
-    home_.setEntryCount(view_->membership_.currentMembers().size());
-    if (!isFenced()) {
-        for (const auto& [name, registration] : view_->targets_)
-            home_.agentRegistered(registration);
-    }
-    if (previous->membership_.fenced_ == view_->membership_.fenced_)
-        return;
-    fences_.retain(view_->membership_);
-    spreadFences();
-}
-
-void EntryCore::spreadFences()
-{
-    for (const auto& [link, state] : links_) {
-        if (!state.isGreeted_ || state.role_ != Role::Agent)
-            continue;
-        for (const auto& fenced : view_->membership_.fenced_)
-            send(LinkId(link), Wire::Fence { fenced.incarnation_ });
-    }
-}
-
-void EntryCore::swapEnded(Time now, WriteOutcome outcome)
+void EntryCore::refuse(RequestId request, const SubmissionId& id, const Problem& problem)
 {
-    keeper_.writeEnded(now, outcome);
-    mustReview_ = true;
+    effects_.audit_.push_back({ .event_ = AuditEvent::RequestRefused, .submission_ = id, .detail_ = std::string(problem.kind_) });
+    effects_.replies_.push_back(writeProblem(request, problem));
 }
 
 void EntryCore::tick(Time now)
@@ -395,43 +253,6 @@
         effects_.swaps_.push_back(std::move(*swap));
 }
 
-void EntryCore::closeSilentLinks(Time now)
-{
-    std::vector<LinkId> silent;
-    for (const auto& [id, link] : links_) {
-        if (link.lastHeard_ + settings_.linkTimeout_ < now)
-            silent.push_back(LinkId(id));
-    }
-    for (auto link : silent)
-        closeLink(link);
-}
-
-void EntryCore::sendHeartbeats(Time now)
-{
-    if (now >= nextSweep_) {
-        nextSweep_ = now + sweepInterval;
-        home_.acknowledgeResults(now);
-        home_.recallFromStalled(now);
-    }
-    noteSent(now);
-    // Any message shows that the link is alive: only a quiet link needs a heartbeat.
-    for (auto& [id, link] : links_) {
-        if (now < link.lastSent_ + settings_.heartbeatInterval_)
-            continue;
-        link.lastSent_ = now;
-        send(LinkId(id), Wire::Heartbeat {});
-    }
-}
-
-void EntryCore::noteSent(Time now)
-{
-    for (; notedMessages_ < effects_.messages_.size(); ++notedMessages_) {
-        auto link = links_.find(toUnderlying(effects_.messages_[notedMessages_].link_));
-        if (link != links_.end())
-            link->second.lastSent_ = now;
-    }
-}
-
 void EntryCore::beginDrain()
 {
     isDraining_ = true;
--- /dev/null
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -0,0 +1,181 @@
+#include "Lagoonpick/Job/JobCore.h"
+
+#include <algorithm>
+#include <utility>
+
+// Which jobs an entry takes, and where their tasks run.
+
+namespace Lagoonpick {
+
+namespace {
+
+/// A job that is expected to take this many times as long as it should is rejected: it would be late, and make others late.
+constexpr double maxExpectedLateness = 1.1;
+/// A job that was taken may wait longer, since what was expected of it was uncertain.
+constexpr double maxLateness = 1.4;
+/// The least time that a task may wait for room, so that two entries that chose the same target don't both start over.
+constexpr Duration minWait = std::chrono::milliseconds(30);
+/// How many targets are looked at for a task.
+constexpr std::size_t maxSample = 8;
+/// How much a target's load weighs against its expected finish, so that equal targets share the work.
+constexpr double loadWeight = 0.15;
+/// Entries choose alike from the same reports; a random part keeps them apart.
+constexpr double jitter = 0.1;
+/// A target that fails what it runs gets one task from each entry in this time.
+constexpr Duration probeInterval = std::chrono::milliseconds(500);
+
+double usedShare(const TargetLoadView& load)
+{
+    return load.capacity_.milliCores_ ? static_cast<double>(load.committed_.milliCores_) / load.capacity_.milliCores_ : 1;
+}
+
+} // namespace
+
+bool JobCore::canRun(const HeldJob& job, const AgentRow& agent) const
+{
+    const auto& labels = agent.report_.labels_;
+    const std::string& required = job.request_.requiredLabel_;
+    if (!agent.isUsable() || agent.report_.service_ != job.queue_.service_ || !hasRoom(agent.report_.capacity_, {}, job.request_.need_))
+        return false;
+    return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
+}
+
+Duration JobCore::workOn(const HeldJob& job, const AgentRow& agent) const
+{
+    const auto& labels = agent.report_.labels_;
+    const std::string& rack = job.request_.rack_;
+    if (rack.empty() || std::find(labels.begin(), labels.end(), rack) != labels.end())
+        return job.work_;
+    return Duration(static_cast<Duration::rep>(settings_.remoteFactor_ * static_cast<double>(job.work_.count())));
+}
+
+/// Answers the load pattern of more jobs than there is room for: one that would end too late is rejected while its
+/// caller can still turn elsewhere, and nothing of it takes room from those that can end in time.
+JobRefusal JobCore::admit(HeldJob& job, Time now)
+{
+    struct Candidate {
+        TargetLoadView load_;
+        Duration work_;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto& [incarnation, agent] : agents_) {
+        if (canRun(job, agent))
+            candidates.push_back({ agent.load(), workOn(job, agent) });
+    }
+    if (candidates.empty())
+        return JobRefusal::NoTargets;
+    Duration latest {};
+    for (std::uint32_t task = 0; task < job.request_.taskCount_; ++task) {
+        Candidate* best = nullptr;
+        Duration earliest = Duration::max();
+        for (auto& candidate : candidates) {
+            Duration finish = expectOn(candidate.load_, job.request_.need_, candidate.work_).finish();
+            if (finish < earliest) {
+                earliest = finish;
+                best = &candidate;
+            }
+        }
+        best->load_.committed_ = best->load_.committed_ + job.request_.need_;
+        latest = std::max(latest, earliest);
+    }
+    auto limit = Duration(static_cast<Duration::rep>(maxExpectedLateness * static_cast<double>((job.due_ - now).count())));
+    if (latest > limit || now + latest > job.deadline_)
+        return JobRefusal::Overloaded;
+    return JobRefusal::None;
+}
+
+std::vector<Incarnation> JobCore::sampleAgents(const HeldJob& job, const JobTask& task, Time now)
+{
+    std::size_t usable = 0;
+    std::size_t suspect = 0;
+    for (const auto& [incarnation, agent] : agents_) {
+        usable += agent.isUsable() ? 1 : 0;
+        suspect += agent.isUsable() && agent.report_.isSuspect_ ? 1 : 0;
+    }
+    // When most targets look bad, the tasks are the more likely cause.
+    bool mustSpareSuspects = suspect * 2 <= usable;
+    std::vector<Incarnation> free;
+    std::vector<Incarnation> full;
+    for (const auto& [incarnation, agent] : agents_) {
+        if (!canRun(job, agent))
+            continue;
+        if (agent.report_.isSuspect_ && mustSpareSuspects && (now < agent.nextProbe_ || task.failures_))
+            continue;
+        TargetLoadView load = agent.load();
+        bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
+        (hasSpace ? free : full).push_back(incarnation);
+    }
+    auto& sample = free.empty() ? full : free;
+    std::size_t size = std::min(sample.size(), maxSample);
+    for (std::size_t i = 0; i < size; ++i) {
+        std::uniform_int_distribution<std::size_t> rest(i, sample.size() - 1);
+        std::swap(sample[i], sample[rest(random_)]);
+    }
+    sample.resize(size);
+    return std::move(sample);
+}
+
+/// Answers the load pattern of many entries that choose by reports which are out of date by then: each looks at a few
+/// targets of its own, so that they don't all take the one that looked best.
+Incarnation JobCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
+{
+    std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
+    Incarnation best;
+    double bestCost = 0;
+    for (Incarnation incarnation : sampleAgents(job, task, now)) {
+        const AgentRow& agent = agents_[incarnation];
+        TargetLoadView load = agent.load();
+        double cost = static_cast<double>(expectOn(load, job.request_.need_, workOn(job, agent)).finish().count());
+        cost += loadWeight * usedShare(load) * static_cast<double>(job.work_.count()) * spread(random_);
+        if (task.avoided_.contains(incarnation))
+            cost += static_cast<double>(job.work_.count()) * 4;
+        if (!best.isValid() || cost < bestCost) {
+            best = incarnation;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void JobCore::place(JobKey key, HeldJob& job, std::uint32_t task, Time now)
+{
+    Incarnation agent = chooseAgent(job, job.tasks_[task], now);
+    if (agent.isValid())
+        startOn(agent, key, job, task, now);
+}
+
+void JobCore::startOn(Incarnation incarnation, JobKey key, HeldJob& job, std::uint32_t index, Time now)
+{
+    JobTask& task = job.tasks_[index];
+    AgentRow& agent = agents_[incarnation];
+    if (agent.report_.isSuspect_)
+        agent.nextProbe_ = now + probeInterval;
+    ++counters_.runs_;
+    if (task.number_)
+        ++counters_.repeatedRuns_;
+    task.run_ = ++lastRun_;
+    task.agent_ = incarnation;
+    ++task.number_;
+    TargetLoadView load = agent.load();
+    bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
+    runs_[task.run_] = { key, index };
+    agent.runs_[task.run_] = job.request_.need_;
+    Duration work = workOn(job, agent);
+    Duration run = expectOn(load, {}, work).run_;
+    Duration wait = std::max<Duration>(minWait, std::chrono::duration_cast<Duration>((job.due_ - now) * maxLateness) - run);
+    wait = std::min<Duration>(wait, std::max<Duration>(job.deadline_ - now - run, minWait));
+    if (hasSpace && task.bounces_ < JobTask::maxBounces)
+        wait = Duration();
+    send(*agent.link_,
+        Wire::StartRun { .run_ = task.run_,
+            // One step, one occurrence.
+            .task_ = job.request_.id_ + ".0.0." + std::to_string(index),
+            .number_ = task.number_,
+            .payload_ = job.request_.payload_,
+            .need_ = job.request_.need_,
+            .workMicroseconds_ = static_cast<std::uint64_t>(work.count()),
+            .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()),
+            .dueInMicroseconds_ = (job.due_ - now - run).count() });
+}
+
+} // namespace Lagoonpick
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -10,6 +10,9 @@
 
 /// One task of a job that an entry holds.
 struct JobTask {
+    /// How often a task is returned at once by targets that seemed to have room; then it waits where it is.
+    static constexpr std::uint32_t maxBounces = 3;
+
     bool isDone_ { false };
     /// The run that is under way; 0 if the task waits to be placed.
     std::uint64_t run_ { 0 };
--- /dev/null
+++ b/UnitTests/History/WorldLinks.cpp
@@ -0,0 +1,145 @@
+#include "UnitTests/History/World.h"
+
+// The links of the world: what is under way on them, and how they break.
+
+namespace Lagoonpick::History {
+
+void World::deliver(Connection& connection, std::size_t side, std::size_t place, bool mustKeep)
+{
+    End& end = connection.ends_[side];
+    Wire::Message message = end.inbox_[place];
+    if (!mustKeep)
+        end.inbox_.erase(end.inbox_.begin() + static_cast<std::ptrdiff_t>(place));
+    End target = end;
+    if (target.isEntry_) {
+        entries_[target.process_].core_->receive(now_, target.link_, message);
+        collectEntry(target.process_);
+    } else {
+        agents_[target.process_].core_->receive(now_, target.link_, message);
+        collectAgent(target.process_);
+    }
+}
+
+void World::deliverAll()
+{
+    for (int round = 0; round < maxRounds; ++round) {
+        std::size_t end = 0;
+        auto* connection = chooseWithMail(static_cast<std::uint32_t>(round), end);
+        if (!connection) {
+            // What was cut is noticed once its mail is read.
+            bool hasClosed = false;
+            for (auto& item : connections_) {
+                for (std::size_t side = 0; side < 2; ++side) {
+                    bool isDue = item.isCut_ && item.ends_[side].isOpen_ && isRunnable(item.ends_[side]);
+                    if (isDue)
+                        closeEnd(item, side);
+                    hasClosed = hasClosed || isDue;
+                }
+            }
+            std::erase_if(connections_, [](const Connection& item) { return !item.ends_[0].isOpen_ && !item.ends_[1].isOpen_; });
+            if (!hasClosed)
+                return;
+            continue;
+        }
+        deliver(*connection, end, 0, false);
+    }
+}
+
+void World::closeEnd(Connection& connection, std::size_t side)
+{
+    End& end = connection.ends_[side];
+    if (!end.isOpen_ || !isRunnable(end))
+        return;
+    end.isOpen_ = false;
+    end.inbox_.clear();
+    End closed = end;
+    if (closed.isEntry_) {
+        entries_[closed.process_].core_->linkClosed(closed.link_);
+        collectEntry(closed.process_);
+    } else {
+        agents_[closed.process_].core_->linkClosed(closed.link_);
+        collectAgent(closed.process_);
+    }
+}
+
+void World::cutAllOf(bool isEntry, std::size_t process)
+{
+    for (auto& connection : connections_) {
+        for (auto& end : connection.ends_) {
+            if (end.isEntry_ != isEntry || end.process_ != process)
+                continue;
+            end.isOpen_ = false;
+            end.inbox_.clear();
+            connection.isCut_ = true;
+        }
+    }
+}
+
+bool World::isConnected(bool isAgent, std::size_t from, std::size_t to) const
+{
+    return std::any_of(connections_.begin(), connections_.end(), [&](const Connection& connection) {
+        const auto& ends = connection.ends_;
+        return !connection.isCut_ && ends[0].process_ == from && ends[1].process_ == to && ends[1].isEntry_ != isAgent;
+    });
+}
+
+void World::connect(bool isAgent, std::size_t from, std::size_t to)
+{
+    Connection connection;
+    connection.ends_[0] = { .isEntry_ = true, .process_ = from, .link_ = LinkId(++lastLink_), .inbox_ = {} };
+    connection.ends_[1] = { .isEntry_ = !isAgent, .process_ = to, .link_ = LinkId(++lastLink_), .inbox_ = {} };
+    if (!isRunnable(connection.ends_[0]) || !isRunnable(connection.ends_[1]) || isConnected(isAgent, from, to))
+        return;
+    LinkId fromLink = connection.ends_[0].link_;
+    LinkId toLink = connection.ends_[1].link_;
+    connections_.push_back(std::move(connection));
+    entries_[from].core_->linkOpened(now_, fromLink);
+    if (isAgent)
+        agents_[to].core_->linkOpened(now_, toLink);
+    else
+        entries_[to].core_->linkOpened(now_, toLink);
+    collectEntry(from);
+    if (isAgent)
+        collectAgent(to);
+    else
+        collectEntry(to);
+}
+
+void World::connectAll()
+{
+    for (std::size_t from = 0; from < entryCount; ++from) {
+        for (std::size_t to = 0; to < agentCount; ++to)
+            connect(true, from, to);
+        for (std::size_t to = from + 1; to < entryCount; ++to)
+            connect(false, from, to);
+    }
+}
+
+void World::push(bool isEntry, std::size_t process, const Wire::OutgoingMessage& item)
+{
+    for (auto& connection : connections_) {
+        for (std::size_t side = 0; side < 2; ++side) {
+            const End& from = connection.ends_[side];
+            bool isSender = from.isEntry_ == isEntry && from.process_ == process && from.link_ == item.link_ && from.isOpen_;
+            End& to = connection.ends_[1 - side];
+            if (isSender && to.isOpen_ && !connection.isCut_)
+                to.inbox_.push_back(item.message_);
+        }
+    }
+}
+
+void World::cutLinks(const std::vector<LinkId>& links)
+{
+    for (auto link : links) {
+        for (auto& connection : connections_) {
+            for (auto& end : connection.ends_) {
+                if (end.link_ != link)
+                    continue;
+                end.isOpen_ = false;
+                connection.isCut_ = true;
+            }
+        }
+    }
+}
+
+} // namespace Lagoonpick::History
