--- a/UnitTests/History/World.cpp
+++ b/UnitTests/History/World.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::int64_t beginMilliseconds = 1'800'000'000'000;
 constexpr std::uint32_t maxTasks = 3;
-constexpr int maxRounds = 400;
 constexpr Duration longWait = seconds(20);
 
 EntrySettings entrySettings(std::size_t entry)
--- a/UnitTests/History/WorldLinks.cpp
+++ b/UnitTests/History/WorldLinks.cpp
@@ -4,6 +4,12 @@
 
 namespace Lagoonpick::History {
 
+namespace {
+
+constexpr int maxRounds = 400;
+
+} // namespace
+
 void World::deliver(Connection& connection, std::size_t side, std::size_t place, bool mustKeep)
 {
     End& end = connection.ends_[side];
