The histories' world hands inputs to a process as its host does: after it has noticed that it stood still

Traced: a frame reached a thawed agent 1 ms before its tick, without the check that RunAgentHost::enter makes before every input, and answers of targets reached frozen agents.

--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <utility>
 
 namespace Lagoonpick {
 
@@ -191,20 +192,21 @@
 
 void RunWorld::beat(Agent& agent)
 {
-    if (now_ < agent.frozenUntil_ || now_ < agent.targetCutUntil_)
+    if (now_ < agent.targetCutUntil_)
         return;
-    agent.core_->receive(agent.target_->heartbeat(), now_);
-    if (agent.target_->isDraining() && !agent.drainAcknowledgedAt_)
-        agent.drainAcknowledgedAt_ = now_;
-    applyAgent(agent);
+    intoAgent(agent, agent.life_, [this, &agent, heartbeat = agent.target_->heartbeat()] {
+        agent.core_->receive(heartbeat, now_);
+        if (agent.target_->isDraining() && heartbeat.isDraining_ && !agent.drainAcknowledgedAt_)
+            agent.drainAcknowledgedAt_ = now_;
+    });
 }
 
 void RunWorld::connect(Entry& entry, Agent& agent)
 {
     auto link = std::make_shared<Link>(Link { LinkId(++lastLink_), &entry, &agent, entry.life_, agent.life_ });
     links_[link->id_] = link;
-    entry.core_->opened(link->id_, now_);
-    agent.core_->opened(link->id_, now_);
+    intoEntry(entry, entry.life_, [this, &entry, link] { entry.core_->opened(link->id_, now_); });
+    intoAgent(agent, agent.life_, [this, &agent, link] { agent.core_->opened(link->id_, now_); });
 }
 
 std::shared_ptr<RunWorld::Link> RunWorld::linkOf(LinkId id) const
@@ -224,12 +226,10 @@
     std::uint64_t entryLife = link.entryLife_;
     std::uint64_t agentLife = link.agentLife_;
     auto closeEntry = [&entry, id, entryLife, this] {
-        if (entry.isUp_ && entry.life_ == entryLife)
-            entry.core_->closed(id, now_);
+        intoEntry(entry, entryLife, [&entry, id, this] { entry.core_->closed(id, now_); });
     };
     auto closeAgent = [&agent, id, agentLife, this] {
-        if (agent.isUp_ && agent.life_ == agentLife)
-            agent.core_->closed(id, now_);
+        intoAgent(agent, agentLife, [&agent, id, this] { agent.core_->closed(id, now_); });
     };
     // Behind a cut neither end hears of the other's reset.
     if (tellEntry && !link.isCut_)
@@ -253,35 +253,71 @@
         return;
     }
     at(now_ + linkDelay, [this, link, toAgent, message = std::move(message)] {
-        auto deliver = [this, link, toAgent, message] {
-            if (!link->isOpen_)
-                return;
-            if (toAgent && link->agent_->isUp_ && link->agent_->life_ == link->agentLife_) {
-                link->agent_->core_->receive(link->id_, message, now_);
-                applyAgent(*link->agent_);
-            } else if (!toAgent && link->entry_->isUp_ && link->entry_->life_ == link->entryLife_) {
+        if (toAgent) {
+            intoAgent(*link->agent_, link->agentLife_, [this, link, message] {
+                if (link->isOpen_)
+                    link->agent_->core_->receive(link->id_, message, now_);
+            });
+            return;
+        }
+        intoEntry(*link->entry_, link->entryLife_, [this, link, message] {
+            if (link->isOpen_)
                 link->entry_->core_->receive(link->id_, message, now_);
-                applyEntry(*link->entry_);
-            }
-        };
-        Time frozenUntil = toAgent ? link->agent_->frozenUntil_ : link->entry_->frozenUntil_;
-        if (now_ < frozenUntil)
-            (toAgent ? link->agent_->inbox_ : link->entry_->inbox_).push_back(deliver);
-        else
-            deliver();
+        });
     });
 }
 
-void RunWorld::tickEntry(Entry& entry)
+void RunWorld::intoEntry(Entry& entry, std::uint64_t life, const std::function<void()>& input)
 {
-    if (now_ < entry.frozenUntil_)
+    if (!entry.isUp_ || entry.life_ != life)
         return;
-    if (now_ - entry.lastRan_ > maxGap)
-        entry.core_->resume(now_ - entry.lastRan_, now_);
-    entry.lastRan_ = now_;
+    if (now_ < entry.frozenUntil_) {
+        entry.inbox_.push_back([this, &entry, life, input] { intoEntry(entry, life, input); });
+        return;
+    }
+    wakeEntry(entry);
+    input();
+    applyEntry(entry);
+}
+
+void RunWorld::intoAgent(Agent& agent, std::uint64_t life, const std::function<void()>& input)
+{
+    if (!agent.isUp_ || agent.life_ != life)
+        return;
+    if (now_ < agent.frozenUntil_) {
+        agent.inbox_.push_back([this, &agent, life, input] { intoAgent(agent, life, input); });
+        return;
+    }
+    wakeAgent(agent);
+    input();
+    applyAgent(agent);
+}
+
+void RunWorld::wakeEntry(Entry& entry)
+{
+    Duration gap = now_ - std::exchange(entry.lastRan_, now_);
+    if (gap > maxGap)
+        entry.core_->resume(gap, now_);
     applyEntry(entry);
     for (auto& input : std::exchange(entry.inbox_, {}))
         input();
+}
+
+void RunWorld::wakeAgent(Agent& agent)
+{
+    Duration gap = now_ - std::exchange(agent.lastRan_, now_);
+    if (gap > maxGap)
+        agent.core_->resume(gap, now_);
+    applyAgent(agent);
+    for (auto& input : std::exchange(agent.inbox_, {}))
+        input();
+}
+
+void RunWorld::tickEntry(Entry& entry)
+{
+    if (now_ < entry.frozenUntil_)
+        return;
+    wakeEntry(entry);
     entry.core_->tick(now_);
     applyEntry(entry);
 }
@@ -290,12 +326,7 @@
 {
     if (now_ < agent.frozenUntil_)
         return;
-    if (now_ - agent.lastRan_ > maxGap)
-        agent.core_->resume(now_ - agent.lastRan_, now_);
-    agent.lastRan_ = now_;
-    applyAgent(agent);
-    for (auto& input : std::exchange(agent.inbox_, {}))
-        input();
+    wakeAgent(agent);
     agent.core_->tick(now_);
     applyAgent(agent);
 }
@@ -325,41 +356,31 @@
     for (auto& item : effects.messages_)
         transmit(linkOf(item.link_), false, std::move(item.message_));
     std::uint64_t life = agent.life_;
-    auto isCurrent = [&agent, life] { return agent.isUp_ && agent.life_ == life; };
     for (const auto& start : effects.starts_) {
         auto reply = std::make_shared<std::optional<CallReply>>();
         callTarget(
-            agent, [this, &agent, start, isCurrent](StandIns::LeasedTarget& target, bool isLate) {
+            agent, [this, &agent, start, life](StandIns::LeasedTarget& target, bool isLate) {
                 CallReply answer = target.receive(start, now_, isLate);
                 if (agent.drainAcknowledgedAt_ && answer.answer_ == CallAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainLimit)
                     report("start on a target that drains: " + start.name_.task_);
                 if (isLate || chance(faults_.answerLost_))
                     return;
-                at(now_ + targetDelay, [this, &agent, answer, isCurrent] {
-                    if (isCurrent()) {
-                        agent.core_->receiveStartReply(answer, now_);
-                        applyAgent(agent);
-                    }
+                at(now_ + targetDelay, [this, &agent, answer, life] {
+                    intoAgent(agent, life, [this, &agent, answer] { agent.core_->receiveStartReply(answer, now_); });
                 }); },
-            [this, &agent, start, isCurrent] {
-                if (isCurrent()) {
-                    agent.core_->receiveStartReply({ start.call_, CallAnswer::NoAnswer, {} }, now_);
-                    applyAgent(agent);
-                }
+            [this, &agent, start, life] {
+                intoAgent(agent, life, [this, &agent, start] { agent.core_->receiveStartReply({ start.call_, CallAnswer::NoAnswer, {} }, now_); });
             },
             startTimeout, true);
     }
     for (const auto& stop : effects.stops_) {
         callTarget(
-            agent, [this, &agent, stop, isCurrent](StandIns::LeasedTarget& target, bool isLate) {
+            agent, [this, &agent, stop, life](StandIns::LeasedTarget& target, bool isLate) {
                 CallReply answer = target.receive(stop, now_);
                 if (isLate || chance(faults_.answerLost_))
                     return;
-                at(now_ + targetDelay, [this, &agent, answer, isCurrent] {
-                    if (isCurrent()) {
-                        agent.core_->receiveStopReply(answer, now_);
-                        applyAgent(agent);
-                    }
+                at(now_ + targetDelay, [this, &agent, answer, life] {
+                    intoAgent(agent, life, [this, &agent, answer] { agent.core_->receiveStopReply(answer, now_); });
                 }); },
             [] {}, startTimeout, true);
     }
@@ -368,7 +389,7 @@
         auto poll = std::make_shared<std::function<void(Time)>>();
         Time giveUpAt = now_ + call.wait_ + milliseconds(50);
         std::uint64_t targetLife = agent.target_->life();
-        *poll = [this, &agent, call, isCurrent, isAnswered, poll, targetLife](Time answerBy) {
+        *poll = [this, &agent, call, life, isAnswered, poll, targetLife](Time answerBy) {
             if (now_ < agent.targetCutUntil_ || agent.target_->life() != targetLife)
                 return;
             agent.target_->advance(now_);
@@ -379,12 +400,9 @@
             LeaseReply reply = agent.target_->receive(call, now_);
             if (chance(faults_.answerLost_))
                 return;
-            at(now_ + targetDelay, [this, &agent, reply, isCurrent, isAnswered] {
-                if (!isCurrent() || *isAnswered)
-                    return;
-                *isAnswered = true;
-                agent.core_->receive(reply, now_);
-                applyAgent(agent);
+            at(now_ + targetDelay, [this, &agent, reply, life, isAnswered] {
+                if (!std::exchange(*isAnswered, true))
+                    intoAgent(agent, life, [this, &agent, reply] { agent.core_->receive(reply, now_); });
             });
         };
         at(now_ + targetDelay, [this, &agent, call, poll, targetLife] {
@@ -394,12 +412,9 @@
             agent.target_->receive(LeaseCall { .leaseUntil_ = call.leaseUntil_, .fencingToken_ = call.fencingToken_ }, now_);
             (*poll)(now_ + call.wait_);
         });
-        at(giveUpAt, [this, &agent, call, isCurrent, isAnswered] {
-            if (!isCurrent() || *isAnswered)
-                return;
-            *isAnswered = true;
-            agent.core_->receive(LeaseReply { .call_ = call.call_, .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, now_);
-            applyAgent(agent);
+        at(giveUpAt, [this, &agent, call, life, isAnswered] {
+            if (!std::exchange(*isAnswered, true))
+                intoAgent(agent, life, [this, &agent, call] { agent.core_->receive(LeaseReply { .call_ = call.call_, .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, now_); });
         });
     }
 }
@@ -449,31 +464,17 @@
         at(now_ + linkDelay, [this, caller] { finishAttempt(caller, std::nullopt); });
         return;
     }
-    auto submit = [this, &entry, caller, request, life = entry.life_] {
-        if (!entry.isUp_ || entry.life_ != life || !callers_.contains(caller))
-            return;
-        entry.core_->submit(CallerId(caller), request, now_);
-        applyEntry(entry);
-    };
-    if (now_ < entry.frozenUntil_)
-        entry.inbox_.push_back(submit);
-    else
-        submit();
+    // A request whose caller has gone is not handed over.
+    intoEntry(entry, entry.life_, [this, &entry, caller, request] {
+        if (callers_.contains(caller))
+            entry.core_->submit(CallerId(caller), request, now_);
+    });
     Duration patience = chance(faults_.giveUp_) ? between(milliseconds(10), milliseconds(300)) : request.patience_;
     at(now_ + patience, [this, caller, index, life = entry.life_] {
         if (!callers_.contains(caller))
             return;
         Entry& left = *entries_[index];
-        auto abandon = [this, &left, caller, life] {
-            if (left.isUp_ && left.life_ == life) {
-                left.core_->abandon(CallerId(caller), now_);
-                applyEntry(left);
-            }
-        };
-        if (now_ < left.frozenUntil_)
-            left.inbox_.push_back(abandon);
-        else
-            abandon();
+        intoEntry(left, life, [this, &left, caller] { left.core_->abandon(CallerId(caller), now_); });
         finishAttempt(caller, std::nullopt);
     });
 }
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -59,6 +59,11 @@
     void sendJob(const std::string& id, const JobRequest& request, int attempt);
     void finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer);
     void misbehave();
+    /// Hands an input to a process as its host would: once it runs, after it has noticed that it stood still.
+    void intoEntry(Entry& entry, std::uint64_t life, const std::function<void()>& input);
+    void intoAgent(Agent& agent, std::uint64_t life, const std::function<void()>& input);
+    void wakeEntry(Entry& entry);
+    void wakeAgent(Agent& agent);
     void tickEntry(Entry& entry);
     void tickAgent(Agent& agent);
     void applyEntry(Entry& entry);
