Admission by the targets' own backlog, without the room of targets that fail; fewer returns under overload

The failing target looked empty, so that admission always found room; tasks past their due time waited 30 ms and were placed anew, 10,000 returns in 4 s; a target's mean run time followed the last ten runs. Ruled out: processor time, the store. Change: targets that fail what they run are left out of admission; targets report their backlog from what runs and waits there; a task waits twice the expected time before it is placed anew; failing is judged by the share of failures.

--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -103,6 +103,8 @@
     bool canRun(const HeldJob& job, const AgentRow& agent) const;
     /// How long a task of the job takes on a target of slowness 1 with the agent's labels.
     Duration workOn(const HeldJob& job, const AgentRow& agent) const;
+    /// True if targets that fail what they run are left out.
+    bool mustSpareSuspects() const;
     JobRefusal admit(HeldJob& job, Time now);
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// The agents that a task may be placed on, a random few of them where there are many.
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -11,10 +11,10 @@
 
 /// A job that is expected to take this many times as long as it should is rejected: it would be late, and make others late.
 constexpr double maxExpectedLateness = 1.1;
-/// A job that was taken may wait longer, since what was expected of it was uncertain.
-constexpr double maxLateness = 1.4;
 /// The least time that a task may wait for room, so that two entries that chose the same target don't both start over.
-constexpr Duration minWait = std::chrono::milliseconds(30);
+constexpr Duration minWait = std::chrono::milliseconds(100);
+/// How many times as long as expected a task waits at a target before it is placed anew.
+constexpr Duration::rep waitFactor = 2;
 /// How many targets are looked at for a task.
 constexpr std::size_t maxSample = 8;
 /// How much a target's load weighs against its expected finish, so that equal targets share the work.
@@ -58,8 +58,10 @@
         Duration work_;
     };
     std::vector<Candidate> candidates;
+    bool mustSpare = mustSpareSuspects();
     for (const auto& [incarnation, agent] : agents_) {
-        if (canRun(job, agent))
+        // A target that fails what it runs has room, but not for this.
+        if (canRun(job, agent) && !(mustSpare && agent.report_.isSuspect_))
             candidates.push_back({ agent.load(), workOn(job, agent) });
     }
     if (candidates.empty())
@@ -76,6 +78,7 @@
             }
         }
         best->load_.committed_ = best->load_.committed_ + job.request_.need_;
+        best->load_.unseen_ = best->load_.unseen_ + job.request_.need_;
         latest = std::max(latest, earliest);
     }
     auto limit = Duration(static_cast<Duration::rep>(maxExpectedLateness * static_cast<double>((job.due_ - now).count())));
@@ -84,7 +87,7 @@
     return JobRefusal::None;
 }
 
-std::vector<Incarnation> JobCore::sampleAgents(const HeldJob& job, const JobTask& task, Time now)
+bool JobCore::mustSpareSuspects() const
 {
     std::size_t usable = 0;
     std::size_t suspect = 0;
@@ -93,13 +96,18 @@
         suspect += agent.isUsable() && agent.report_.isSuspect_ ? 1 : 0;
     }
     // When most targets look bad, the tasks are the more likely cause.
-    bool mustSpareSuspects = suspect * 2 <= usable;
+    return suspect * 2 <= usable;
+}
+
+std::vector<Incarnation> JobCore::sampleAgents(const HeldJob& job, const JobTask& task, Time now)
+{
+    bool mustSpare = mustSpareSuspects();
     std::vector<Incarnation> free;
     std::vector<Incarnation> full;
     for (const auto& [incarnation, agent] : agents_) {
         if (!canRun(job, agent))
             continue;
-        if (agent.report_.isSuspect_ && mustSpareSuspects && (now < agent.nextProbe_ || task.failures_))
+        if (agent.report_.isSuspect_ && mustSpare && (now < agent.nextProbe_ || task.failures_))
             continue;
         TargetLoadView load = agent.load();
         bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
@@ -161,8 +169,10 @@
     runs_[task.run_] = { key, index };
     agent.runs_[task.run_] = job.request_.need_;
     Duration work = workOn(job, agent);
-    Duration run = expectOn(load, {}, work).run_;
-    Duration wait = std::max<Duration>(minWait, std::chrono::duration_cast<Duration>((job.due_ - now) * maxLateness) - run);
+    TargetOutlook outlook = expectOn(load, job.request_.need_, work);
+    Duration run = outlook.run_;
+    // Longer than expected, but not for ever: another target may have room by then.
+    Duration wait = std::max<Duration>(minWait, outlook.wait_ * waitFactor);
     wait = std::min<Duration>(wait, std::max<Duration>(job.deadline_ - now - run, minWait));
     if (hasSpace && task.bounces_ < JobTask::maxBounces)
         wait = Duration();
--- a/Lagoonpick/Job/TargetChoice.cpp
+++ b/Lagoonpick/Job/TargetChoice.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
-double overflowShare(std::uint32_t capacity, std::uint32_t committed, std::uint32_t need)
+/// How much of the target's whole room the tasks take that it does not know of yet and that don't fit.
+double overflowShare(std::uint32_t capacity, std::uint32_t committed, std::uint32_t unseen, std::uint32_t need)
 {
     double sum = static_cast<double>(committed) + need;
     if (sum <= capacity)
         return 0;
-    return capacity ? (sum - capacity) / capacity : 1;
+    return capacity ? std::min(sum - capacity, static_cast<double>(unseen) + need) / capacity : 1;
 }
 
 } // namespace
@@ -20,12 +21,17 @@
 {
     TargetOutlook outlook;
     outlook.run_ = Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) * target.slowness_));
-    double overflow = overflowShare(target.capacity_.milliCores_, target.committed_.milliCores_, need.milliCores_);
-    overflow = std::max(overflow, overflowShare(target.capacity_.memoryMegabytes_, target.committed_.memoryMegabytes_, need.memoryMegabytes_));
-    overflow = std::max(overflow, overflowShare(target.capacity_.accelerators_, target.committed_.accelerators_, need.accelerators_));
+    const Wire::Resources& capacity = target.capacity_;
+    const Wire::Resources& committed = target.committed_;
+    const Wire::Resources& unseen = target.unseen_;
+    if (hasRoom(capacity, committed, need))
+        return outlook;
+    double overflow = overflowShare(capacity.milliCores_, committed.milliCores_, unseen.milliCores_, need.milliCores_);
+    overflow = std::max(overflow, overflowShare(capacity.memoryMegabytes_, committed.memoryMegabytes_, unseen.memoryMegabytes_, need.memoryMegabytes_));
+    overflow = std::max(overflow, overflowShare(capacity.accelerators_, committed.accelerators_, unseen.accelerators_, need.accelerators_));
     // A full target turns over its whole capacity once in the time that a run takes there.
     Duration turnover = target.typicalTime_.count() ? target.typicalTime_ : outlook.run_;
-    outlook.wait_ = Duration(static_cast<Duration::rep>(overflow * static_cast<double>(turnover.count())));
+    outlook.wait_ = target.backlog_ + Duration(static_cast<Duration::rep>(overflow * static_cast<double>(turnover.count())));
     return outlook;
 }
 
--- a/Lagoonpick/Job/TargetChoice.h
+++ b/Lagoonpick/Job/TargetChoice.h
@@ -20,6 +20,10 @@
     /// What runs, waits, and is on its way there.
     Wire::Resources committed_;
     double slowness_ { 1 };
+    /// The part of `committed_` that the target's backlog does not know of yet.
+    Wire::Resources unseen_;
+    /// How long a task would wait by what the target knows of.
+    Duration backlog_ {};
     /// How long its runs take; zero if none has ended yet.
     Duration typicalTime_ {};
 };
--- /dev/null
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -0,0 +1,56 @@
+#include "Lagoonpick/Run/Backlog.h"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// A run that is over its expected time may end at any moment; it is given this share of that time again.
+constexpr double leastRemainingShare = 0.2;
+
+Duration scale(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+/// How many tasks as large as those that are there fit beside each other.
+std::size_t countPlaces(const RunTable& runs, const Wire::Resources& capacity)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, run] : runs.rows())
+        sum += run.need_.milliCores_;
+    std::uint64_t mean = sum / std::max<std::size_t>(runs.rows().size(), 1);
+    return mean ? std::max<std::size_t>(capacity.milliCores_ / mean, 1) : 1;
+}
+
+} // namespace
+
+Duration expectedBacklog(const RunTable& runs, const Wire::Resources& capacity, double slowness, Time now)
+{
+    // When each place is free again, the earliest on top.
+    std::priority_queue<Duration, std::vector<Duration>, std::greater<>> places;
+    std::vector<const Run*> waiting;
+    for (const auto& [id, run] : runs.rows()) {
+        if (run.phase_ == RunPhase::Queued) {
+            waiting.push_back(&run);
+            continue;
+        }
+        Duration expected = scale(run.work_, slowness);
+        places.push(std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, leastRemainingShare)));
+    }
+    std::size_t count = countPlaces(runs, capacity);
+    while (places.size() < count)
+        places.push(Duration());
+    std::sort(waiting.begin(), waiting.end(), [](const Run* left, const Run* right) { return left->due_ < right->due_; });
+    for (const Run* run : waiting) {
+        Duration begin = places.top();
+        places.pop();
+        places.push(begin + scale(run->work_, slowness));
+    }
+    return places.top();
+}
+
+} // namespace Lagoonpick
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -118,7 +118,7 @@
     void sendPulses(Time now);
     void sendReports(Time now);
     void markReportsDue();
-    Wire::TargetReport report(const EntrySession& session) const;
+    Wire::TargetReport report(const EntrySession& session, Time now) const;
     void send(LinkId link, Wire::RunMessage message);
     void raiseToken(Time now);
     void abort(LinkId link);
--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonpick/Run/Backlog.h"
 #include "Lagoonpick/Run/RunCore.h"
 
 #include <algorithm>
@@ -147,7 +148,7 @@
     if (reason == NotStartedReason::None)
         return;
     // The entry chose by a report that is no longer right: it gets the news before it chooses again.
-    send(link, report(session));
+    send(link, report(session, now));
     end(id, RunEnd::NotStarted, reason, now);
 }
 
@@ -219,7 +220,7 @@
         session.isReportDue_ = false;
         session.nextReport_ = now + settings_.reportInterval_ * static_cast<Duration::rep>(1 + sessions_.size() / 4);
         session.nextPulse_ = now + settings_.pulseInterval_;
-        send(*session.link_, report(session));
+        send(*session.link_, report(session, now));
     }
 }
 
@@ -229,11 +230,11 @@
         session.isReportDue_ = true;
 }
 
-Wire::TargetReport RunCore::report(const EntrySession& session) const
+Wire::TargetReport RunCore::report(const EntrySession& session, Time now) const
 {
     constexpr double permille = 1000;
     const TargetHeartbeat& heartbeat = target_.heartbeat();
-    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(monitor_.slowness() * permille), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(monitor_.slowness() * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, monitor_.slowness(), now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
 }
 
 void RunCore::send(LinkId link, Wire::RunMessage message)
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -7,8 +7,16 @@
 
 namespace {
 
+/// The weight of a run's end in the share of failures: the last seven or so count.
+constexpr double failureWeight = 0.15;
+/// Three failures of different jobs in a row, with no end as done between them, are more than jobs' own faults explain.
+constexpr double suspectAbove = 0.38;
+/// Far enough below that single ends don't turn the judgement to and fro.
+constexpr double trustedBelow = 0.15;
 /// The weight of a new sample once many were seen: the last ten or so count.
 constexpr double steadyWeight = 0.1;
+/// A target's runs are a mix of short and long ones: it takes many to know their mean.
+constexpr double typicalWeight = 0.02;
 /// Tasks differ in themselves; a single one can't say that a target is more than this many times slower.
 constexpr double maxSampleRatio = 20;
 
@@ -16,7 +24,8 @@
 
 void TargetMonitor::recordDone(Duration took, Duration work)
 {
-    failedJobs_.clear();
+    failureShare_ -= failureWeight * failureShare_;
+    noteSuspicion();
     if (took.count() <= 0 || work.count() <= 0)
         return;
     samples_ += 1;
@@ -25,16 +34,24 @@
     ratio = std::clamp(ratio, 1 / maxSampleRatio, maxSampleRatio);
     logSlowness_ += weight * (std::log(ratio) - logSlowness_);
     double microseconds = static_cast<double>(took.count());
-    typicalMicroseconds_ += (samples_ == 1 ? 1 : steadyWeight) * (microseconds - typicalMicroseconds_);
+    typicalMicroseconds_ += std::max(typicalWeight, 1 / samples_) * (microseconds - typicalMicroseconds_);
 }
 
 void TargetMonitor::recordFailure(std::string_view job)
 {
-    if (std::find(failedJobs_.begin(), failedJobs_.end(), job) != failedJobs_.end())
+    if (job == lastFailedJob_)
         return;
-    failedJobs_.emplace_back(job);
-    if (failedJobs_.size() > suspectAfterJobs)
-        failedJobs_.pop_front();
+    lastFailedJob_ = job;
+    failureShare_ += failureWeight * (1 - failureShare_);
+    noteSuspicion();
+}
+
+void TargetMonitor::noteSuspicion()
+{
+    if (failureShare_ > suspectAbove)
+        isSuspect_ = true;
+    if (failureShare_ < trustedBelow)
+        isSuspect_ = false;
 }
 
 double TargetMonitor::slowness() const
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonpick/Run/TargetCalls.h"
 
-#include <deque>
+#include <string>
 
 namespace Lagoonpick {
 
@@ -17,20 +17,22 @@
     /// Takes in a run that the target failed or rejected. Failures of one job count once: the job may be at fault.
     void recordFailure(std::string_view job);
 
-    /// True while the last runs of several jobs all failed.
-    bool isSuspect() const { return failedJobs_.size() >= suspectAfterJobs; }
+    /// True from when the runs of several jobs have failed until most are done again.
+    bool isSuspect() const { return isSuspect_; }
 
     double slowness() const;
     Duration typicalTime() const { return Duration(static_cast<Duration::rep>(typicalMicroseconds_)); }
 
 private:
-    /// Jobs fail by their own fault now and then; this many different ones in a row do not.
-    static constexpr std::size_t suspectAfterJobs = 3;
+    void noteSuspicion();
 
     double logSlowness_ { 0 };
     double samples_ { 0 };
     double typicalMicroseconds_ { 0 };
-    std::deque<std::string> failedJobs_;
+    /// Of the newest ends; the failures of one job in a row count once.
+    double failureShare_ { 0 };
+    bool isSuspect_ { false };
+    std::string lastFailedJob_;
 };
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -149,6 +149,8 @@
     Resources queued_;
     /// How many thousandths of the expected time tasks take.
     std::uint64_t slownessPermille_ { 1000 };
+    /// How long a task that comes now would wait for room, by what runs and waits there.
+    std::uint64_t backlogMicroseconds_ { 0 };
     /// How long runs took of late.
     std::uint64_t typicalMicroseconds_ { 0 };
     /// The highest of this entry's runs that `used_` and `queued_` take account of.
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -75,7 +75,7 @@
 void describe(auto& archive, Is<TargetReport> auto& value)
 {
     archive(value.isOpen_, value.isSuspect_, value.service_, value.labels_, value.capacity_, value.used_, value.queued_,
-        value.slownessPermille_, value.typicalMicroseconds_, value.seenRun_);
+        value.slownessPermille_, value.backlogMicroseconds_, value.typicalMicroseconds_, value.seenRun_);
 }
 
 std::string RunCodec::encode(std::span<const Message> messages)
--- a/UnitTests/Runs/JobCoreTest.cpp
+++ b/UnitTests/Runs/JobCoreTest.cpp
@@ -191,6 +191,23 @@
     CHECK(entry.starts_.size() == started);
 }
 
+TEST_CASE("The room of a target that fails what it runs does not count as room")
+{
+    auto isSuspect = GENERATE(false, true);
+    EntryAtWork entry;
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.backlogMicroseconds_ = 400'000;
+    entry.core_.receive(LinkId(1), full, entry.now_);
+    auto empty = openReport();
+    empty.isSuspect_ = isSuspect;
+    entry.core_.receive(LinkId(2), empty, entry.now_);
+    entry.submit(makeRequest("job"));
+    CHECK(entry.answers_.size() == (isSuspect ? 1 : 0));
+    if (isSuspect)
+        CHECK(entry.answers_[0].refusal_ == JobRefusal::Overloaded);
+}
+
 TEST_CASE("A caller that leaves, or cancels, stops its job, unless another waits for it too")
 {
     auto [isCancel, others] = GENERATE(table<bool, int>({ { false, 0 }, { false, 1 }, { true, 0 } }));
@@ -273,8 +290,9 @@
         std::uint32_t committed_;
         int waitMs_;
     };
-    auto row = GENERATE(values<Row>({ { 0, 0 }, { 9000, 0 }, { 10'000, 10 }, { 19'000, 100 } }));
-    TargetLoadView view { .capacity_ = { 10'000, 1000, 0 }, .committed_ = { row.committed_, 10, 0 }, .slowness_ = 2, .typicalTime_ = milliseconds(100) };
+    // All that is committed is on its way there; what the target knows of adds its backlog.
+    auto row = GENERATE(values<Row>({ { 0, 0 }, { 9000, 0 }, { 10'000, 17 }, { 19'000, 107 } }));
+    TargetLoadView view { .capacity_ = { 10'000, 1000, 0 }, .committed_ = { row.committed_, 10, 0 }, .slowness_ = 2, .unseen_ = { row.committed_, 10, 0 }, .backlog_ = milliseconds(7), .typicalTime_ = milliseconds(100) };
     auto outlook = expectOn(view, { 1000, 10, 0 }, milliseconds(50));
     CHECK(outlook.run_ == milliseconds(100));
     CHECK(outlook.wait_ == milliseconds(row.waitMs_));
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -1,4 +1,5 @@
 #include "Lagoonpick/Run/RunCore.h"
+#include "Lagoonpick/Run/Backlog.h"
 
 #include <catch2/catch.hpp>
 
@@ -425,7 +426,7 @@
     CHECK(target.incarnation() == TargetIncarnation { "target", 5 });
 }
 
-TEST_CASE("A target is suspect once the last runs of several jobs failed, and no longer once one is done")
+TEST_CASE("A target is suspect once the last runs of several jobs failed, and no longer once most are done again")
 {
     struct Row {
         std::vector<std::string> failedJobs_;
@@ -437,9 +438,28 @@
         monitor.recordFailure(job);
     CHECK(monitor.isSuspect() == row.isSuspect_);
     monitor.recordDone(milliseconds(10), milliseconds(10));
+    CHECK(monitor.isSuspect() == row.isSuspect_);
+    for (int i = 0; i < 10; ++i)
+        monitor.recordDone(milliseconds(10), milliseconds(10));
     CHECK_FALSE(monitor.isSuspect());
 }
 
+TEST_CASE("A target's backlog is the time until a place is free, by what runs and waits there")
+{
+    struct Row {
+        int running_;
+        int waiting_;
+        int backlogMs_;
+    };
+    // Two places, 100 ms of work each, slowness 2, half done.
+    auto row = GENERATE(values<Row>({ { 0, 0, 0 }, { 1, 0, 0 }, { 2, 0, 100 }, { 2, 1, 100 }, { 2, 2, 300 }, { 2, 5, 500 } }));
+    Time now { std::chrono::hours(1) };
+    RunTable runs;
+    for (int i = 0; i < row.running_ + row.waiting_; ++i)
+        runs.add({ .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .phase_ = i < row.running_ ? RunPhase::Running : RunPhase::Queued, .startSentAt_ = now - milliseconds(100) });
+    CHECK(expectedBacklog(runs, { 2000, 100, 0 }, 2, now) == milliseconds(row.backlogMs_));
+}
+
 TEST_CASE("The common times leave no overlap whatever the platform's limits")
 {
     auto maxLease = GENERATE(values<int>({ 200, 1000, 5000 }));
