--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -58,14 +58,14 @@
     , core_(settings_.job_, seed)
     , links_(context, linkLimits(),
           { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
-              [this](LinkId link, std::vector<Wire::RunMessage> messages) {
+              [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
                   Time now = enter();
                   for (const auto& message : messages)
                       core_.receive(link, message, now);
                   loop_.schedule();
               } },
           seed + 1)
-    , front_(context, frontLimits(), [this](HttpRequest request, HttpServer::Respond respond) { handleFront(std::move(request), std::move(respond)); })
+    , front_(context, frontLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
     , ready_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
         if (UsersPlatform::isReadinessPath(request.path_))
             respond(UsersPlatform::encodeReadiness(core_.isReady()));
@@ -111,18 +111,18 @@
     return now;
 }
 
-void JobEntryHost::handleFront(HttpRequest request, HttpServer::Respond respond)
+void JobEntryHost::handleFront(const HttpRequest& request, const HttpServer::Respond& respond)
 {
     enter();
     auto call = UsersPlatform::decodeJobCall(request);
-    std::visit([&](const auto& alternative) { handle(request, alternative, std::move(respond)); }, call);
+    std::visit([&](const auto& alternative) { handle(request, alternative, respond); }, call);
     loop_.schedule();
 }
 
-void JobEntryHost::handle(const HttpRequest& request, const JobRequest& job, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest& request, const JobRequest& job, const HttpServer::Respond& respond)
 {
     CallerId caller { ++lastCaller_ };
-    callers_[toUnderlying(caller)] = std::move(respond);
+    callers_[toUnderlying(caller)] = respond;
     request.presence_->onGone_ = [this, caller] {
         core_.abandon(caller, enter());
         loop_.schedule();
@@ -130,29 +130,29 @@
     core_.submit(caller, job, clock_.now());
 }
 
-void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::UnsupportedJob& job, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::UnsupportedJob& job, const HttpServer::Respond& respond)
 {
     auto exists = core_.hasQueue(job.host_, job.path_, clock_.now());
     log(LogLine("job_rejected").text("job", job.id_).text("why", "unsupported").text("feature", job.feature_));
     respondTo(respond, exists.value_or(true) ? UsersPlatform::encodeUnsupported(job.feature_) : UsersPlatform::encodeQueueState(exists));
 }
 
-void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::StateQuery& query, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::StateQuery& query, const HttpServer::Respond& respond)
 {
     respondTo(respond, core_.isHeld(query.id_) ? UsersPlatform::encodeRunningState() : UsersPlatform::encodeNoSuchJob());
 }
 
-void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::CancelCall& call, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::CancelCall& call, const HttpServer::Respond& respond)
 {
     respondTo(respond, core_.cancel(call.id_, clock_.now()) ? UsersPlatform::encodeCancelled() : UsersPlatform::encodeNoSuchJob());
 }
 
-void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::QueueQuery& query, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest&, const UsersPlatform::QueueQuery& query, const HttpServer::Respond& respond)
 {
     respondTo(respond, UsersPlatform::encodeQueueState(core_.hasQueue(query.host_, query.path_, clock_.now())));
 }
 
-void JobEntryHost::handle(const HttpRequest& request, const UsersPlatform::MalformedCall& call, HttpServer::Respond respond)
+void JobEntryHost::handle(const HttpRequest& request, const UsersPlatform::MalformedCall& call, const HttpServer::Respond& respond)
 {
     log(LogLine("request_malformed").text("path", request.path_).text("why", call.reason_));
     respondTo(respond, UsersPlatform::encodeMalformed(call.reason_));
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -30,14 +30,14 @@
 private:
     /// Every input goes through here first: what time it is, and whether the process stood still before it.
     Time enter();
-    void handleFront(HttpRequest request, HttpServer::Respond respond);
+    void handleFront(const HttpRequest& request, const HttpServer::Respond& respond);
     void handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const;
-    void handle(const HttpRequest&, const JobRequest&, HttpServer::Respond);
-    void handle(const HttpRequest&, const UsersPlatform::UnsupportedJob&, HttpServer::Respond);
-    void handle(const HttpRequest&, const UsersPlatform::StateQuery&, HttpServer::Respond);
-    void handle(const HttpRequest&, const UsersPlatform::CancelCall&, HttpServer::Respond);
-    void handle(const HttpRequest&, const UsersPlatform::QueueQuery&, HttpServer::Respond);
-    void handle(const HttpRequest&, const UsersPlatform::MalformedCall&, HttpServer::Respond);
+    void handle(const HttpRequest&, const JobRequest&, const HttpServer::Respond&);
+    void handle(const HttpRequest&, const UsersPlatform::UnsupportedJob&, const HttpServer::Respond&);
+    void handle(const HttpRequest&, const UsersPlatform::StateQuery&, const HttpServer::Respond&);
+    void handle(const HttpRequest&, const UsersPlatform::CancelCall&, const HttpServer::Respond&);
+    void handle(const HttpRequest&, const UsersPlatform::QueueQuery&, const HttpServer::Respond&);
+    void handle(const HttpRequest&, const UsersPlatform::MalformedCall&, const HttpServer::Respond&);
     void respondTo(const HttpServer::Respond&, HttpResponse response) const;
 
     void installConfiguration(const std::string& text, std::string_view source);
--- a/Lagoonpick/Dispatch/Home.cpp
+++ b/Lagoonpick/Dispatch/Home.cpp
@@ -8,7 +8,6 @@
 namespace Lagoonpick {
 
 using Wire::Fate;
-using Wire::RefusalReason;
 
 namespace {
 
--- a/Lagoonpick/Ledger/AgentCoreAnswers.cpp
+++ b/Lagoonpick/Ledger/AgentCoreAnswers.cpp
@@ -11,7 +11,6 @@
 namespace Lagoonpick {
 
 using Wire::Phase;
-using Wire::RefusalReason;
 
 void AgentCore::handle(Time, LinkId, const Wire::ResultAcks& acks)
 {
--- a/Lagoonpick/Transport/FrameHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -23,9 +23,9 @@
 struct ClientConfig : websocketpp::config::asio_client {
     using type = ClientConfig;
     using base = websocketpp::config::asio_client;
-    struct transport_config : base::transport_config {
+    struct transport_config : base::transport_config { // NOLINT(readability-identifier-naming): the library's names
         /// In milliseconds: many times a round trip within a region.
-        static const long timeout_connect = 200;
+        static const long timeout_connect = 200; // NOLINT(readability-identifier-naming)
     };
     using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
 };
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -51,7 +51,7 @@
     , core_(settings_.run_)
     , links_(context, linkLimits(),
           { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
-              [this](LinkId link, std::vector<Wire::RunMessage> messages) {
+              [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
                   Time now = enter();
                   for (const auto& message : messages)
                       core_.receive(link, message, now);
--- a/Soak/RunsSoak.cpp
+++ b/Soak/RunsSoak.cpp
@@ -202,6 +202,7 @@
     CallerRecord record;
     std::atomic<bool> isOver { false };
     std::vector<std::thread> callers;
+    callers.reserve(callerCount);
     for (int i = 0; i < callerCount; ++i)
         callers.emplace_back([&, i] { submitJobs(system, record, seed * callerCount + i, isOver); });
     auto end = std::chrono::steady_clock::now() + span;
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -419,7 +419,7 @@
     }
 }
 
-void RunWorld::callTarget(Agent& agent, std::function<void(StandIns::LeasedTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate)
+void RunWorld::callTarget(Agent& agent, const std::function<void(StandIns::LeasedTarget&, bool isLate)>& call, const std::function<void()>& giveUp, Duration timeout, bool canBeLate)
 {
     bool isLate = canBeLate && chance(faults_.appliedLate_);
     Duration delay = isLate ? between(milliseconds(2000), milliseconds(12'000)) : targetDelay;
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -68,7 +68,7 @@
     void tickAgent(Agent& agent);
     void applyEntry(Entry& entry);
     void applyAgent(Agent& agent);
-    void callTarget(Agent& agent, std::function<void(StandIns::LeasedTarget&, bool isLate)> call, std::function<void()> giveUp, Duration timeout, bool canBeLate);
+    void callTarget(Agent& agent, const std::function<void(StandIns::LeasedTarget&, bool isLate)>& call, const std::function<void()>& giveUp, Duration timeout, bool canBeLate);
     void connect(Entry& entry, Agent& agent);
     void breakLink(Link& link, bool tellEntry, bool tellAgent);
     void transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message);
