--- a/ContractTests/ProgramTest.cpp
+++ b/ContractTests/ProgramTest.cpp
@@ -24,11 +24,14 @@
 constexpr auto goodEntry = "[entry]\nname = a\navailability_zone = z\ncaller_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\n[platform]\naddress = 127.0.0.1:3\n";
 constexpr auto goodAgent = "[agent]\ntarget = a\navailability_zone = z\naddress = 127.0.0.1:1\ndebug_address = 127.0.0.1:2\n[target]\naddress = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n";
 
+constexpr auto goodJobEntry = "[entry]\nname = a\navailability_zone = z\nfront_address = 127.0.0.1:1\nready_address = 127.0.0.1:2\nlink_address = 127.0.0.1:3\nmetrics_address = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n";
+constexpr auto goodRunAgent = "[agent]\nname = a\navailability_zone = z\ncontrol_address = 127.0.0.1:1\nmetrics_address = 127.0.0.1:2\nentry_link_address = 127.0.0.1:3\n[target]\naddress = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n";
+
 } // namespace
 
 TEST_CASE("Every program says what it is and how it exits", "[Program]")
 {
-    auto program = GENERATE(as<std::string> {}, ENTRY_PROGRAM, AGENT_PROGRAM, CTL_PROGRAM, LOAD_PROGRAM);
+    auto program = GENERATE(as<std::string> {}, ENTRY_PROGRAM, AGENT_PROGRAM, CTL_PROGRAM, LOAD_PROGRAM, JOB_ENTRY_PROGRAM, RUN_AGENT_PROGRAM);
     CAPTURE(program);
     auto [helpCode, help] = runProgram({ program, "--help" });
     CHECK(helpCode == 0);
@@ -59,6 +62,13 @@
         { AGENT_PROGRAM, std::string(goodAgent) + "[target]\n", 0, "good" },
         { AGENT_PROGRAM, "[agent]\n", 78, "target" },
         { CTL_PROGRAM, "[ctl]\nprocesses = localhost:1\n", 78, "numeric" },
+        { JOB_ENTRY_PROGRAM, goodJobEntry, 0, "good" },
+        { JOB_ENTRY_PROGRAM, std::string(goodJobEntry) + "[times]\nresend_ms = 150\n", 78, "four times stop_timeout_ms" },
+        { JOB_ENTRY_PROGRAM, std::string(goodJobEntry) + "[times]\nshutdown_grace_s = soon\n", 78, "number from" },
+        { JOB_ENTRY_PROGRAM, "[entry]\nname = a\n", 78, "front_address" },
+        { RUN_AGENT_PROGRAM, goodRunAgent, 0, "good" },
+        { RUN_AGENT_PROGRAM, std::string(goodRunAgent) + "[agent]\n", 0, "good" },
+        { RUN_AGENT_PROGRAM, "[agent]\nname = a\n", 78, "control_address" },
     }));
     Folder folder;
     auto file = folder.write("settings.ini", row.text_);
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -323,6 +323,12 @@
     markReportsDue();
 }
 
+bool RunCore::isIdle() const
+{
+    auto isConfirmed = [](const auto& row) { return !row.second.link_ || row.second.unconfirmed_.empty(); };
+    return runs_.rows().empty() && std::all_of(sessions_.begin(), sessions_.end(), isConfirmed);
+}
+
 void RunCore::refuseQueued(NotStartedReason reason, Time now)
 {
     std::vector<RunId> queued;
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -64,7 +64,8 @@
 
     /// Begins no further run; those that run go on.
     void beginShutdown(Time now);
-    bool isIdle() const { return runs_.rows().empty(); }
+    /// True if nothing runs and every entry that is there has confirmed what it was told.
+    bool isIdle() const;
 
     void tick(Time now);
     RunEffects takeEffects();
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -247,7 +247,7 @@
 
 void RunAgentHost::continueShutdown(Time now)
 {
-    /// For the ends of the last runs to reach the entries.
+    /// For the news that nothing more is taken here to reach the entries.
     constexpr Duration lastWords = std::chrono::milliseconds(100);
     bool isOver = now - *shutdownAt_ >= settings_.shutdownTimeout_;
     if (!isOver && (!core_.isIdle() || now - *shutdownAt_ < lastWords))
--- /dev/null
+++ b/Soak/RunsProgramTest.cpp
@@ -0,0 +1,146 @@
+#include "ContractTests/Support/Caller.h"
+#include "Lagoonpick/Configuration/CommandLine.h"
+#include "Soak/SoakSystem.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace Lagoonpick::Soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int patienceSeconds = 10;
+
+std::string jobBody(int workMs, int tasks = 1)
+{
+    return fmt::format(R"({{"spec":"work_ms={} cpu=1000","steps":[{{"count":{},"cpu":1000,"mem_mb":1,"estimate_ms":100}}],"best_effort":true}})", workMs, tasks);
+}
+
+Contract::CallerAnswer submit(const SoakSystem& system, const std::string& id, const std::string& body)
+{
+    return Contract::call(system.front(0), "POST", "/queue/" + id, body, patienceSeconds);
+}
+
+} // namespace
+
+TEST_CASE("A job is served end to end; what can't be served is said truthfully", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 2 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    struct Row {
+        std::string method_;
+        std::string path_;
+        std::string body_;
+        std::uint32_t status_;
+        std::string part_;
+    };
+    const std::vector<Row> rows {
+        { "POST", "/queue/00000000000000a1", jobBody(30, 6), 200, "done" },
+        { "POST", "/queue/00000000000000a1", jobBody(30, 6), 200, "done" },
+        { "POST", "/other/00000000000000a2", jobBody(30), 404, "no such queue" },
+        { "POST", "/queue/00000000000000a3", R"({"spec":"","steps":[{"count":1}]})", 503, "not served" },
+        { "POST", "/queue/00000000000000a4", R"({"spec":"","steps":[{"count":1,"cpu":9000000}],"best_effort":true})", 503, "no target" },
+        { "POST", "/queue/00000000000000a5", "{", 400, "JSON" },
+        { "GET", "/queue/", "", 200, "pending" },
+        { "GET", "/other/", "", 404, "no such queue" },
+        { "GET", "/queue/00000000000000a6", "", 410, "no such job" },
+        { "DELETE", "/queue/00000000000000a6", "", 410, "no such job" },
+    };
+    for (const auto& row : rows) {
+        auto answer = Contract::call(system.front(0), row.method_, row.path_, row.body_, patienceSeconds);
+        INFO(row.method_ << " " << row.path_ << ": " << answer.status_ << " " << answer.body_);
+        CHECK(answer.status_ == row.status_);
+        CHECK(answer.body_.find(row.part_) != std::string::npos);
+    }
+}
+
+TEST_CASE("A graceful shutdown answers what is under way", "[RunsProgram]")
+{
+    auto isEntry = GENERATE(true, false);
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    Contract::CallerAnswer answer;
+    std::thread caller([&] { answer = submit(system, "00000000000000b1", jobBody(800)); });
+    std::this_thread::sleep_for(milliseconds(300));
+    if (isEntry) {
+        system.signalEntry(0, SIGTERM);
+        CHECK(Contract::waitForStatus(system.ready(0), "/lagoonpick/ready", 503, 2));
+    } else {
+        system.signalAgent(0, SIGTERM);
+    }
+    caller.join();
+    INFO((isEntry ? "entry" : "agent") << " shut down\n"
+                                       << readFile(system.logs() + "/entry-0.log").value_or("") << readFile(system.logs() + "/agent-0.log").value_or(""));
+    CHECK(answer.status_ == 200);
+    CHECK(answer.member("state") == "done");
+    CHECK((isEntry ? system.waitForEntry(0, 7) : system.waitForAgent(0, 7)));
+}
+
+TEST_CASE("Damaged heartbeats name no target, harm no other, and leave a line in the log", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    for (const auto& body : { std::string("{"), std::string("\xff\xfe"), std::string(R"({"service":7})"), std::string(5'000'000, 'x') }) {
+        auto answer = Contract::call(system.control(0), "POST", "/lagoonpick/instances/other/heartbeat", body, patienceSeconds);
+        CHECK((answer.status_ == 400 || answer.status_ == 413 || answer.status_ == 0));
+    }
+    CHECK(submit(system, "00000000000000c1", jobBody(20)).member("state") == "done");
+    CHECK(readFile(system.logs() + "/agent-0.log").value_or("").find("heartbeat_unreadable") != std::string::npos);
+}
+
+TEST_CASE("Every line of a log is JSON with a time, a process and an event; metrics count what happened", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    REQUIRE(submit(system, "00000000000000d1", jobBody(20, 2)).member("state") == "done");
+    system.signalEntry(0, SIGUSR1);
+    std::this_thread::sleep_for(milliseconds(200));
+    std::set<std::string> events;
+    for (const auto* name : { "/entry-0.log", "/agent-0.log" }) {
+        std::istringstream lines(readFile(system.logs() + name).value_or(""));
+        for (std::string line; std::getline(lines, line);) {
+            boost::system::error_code error;
+            auto value = boost::json::parse(line, error);
+            INFO(line);
+            REQUIRE_FALSE(error);
+            CHECK(value.as_object().contains("at_ms"));
+            CHECK(value.as_object().contains("process"));
+            events.insert(std::string(value.at("event").as_string()));
+        }
+    }
+    for (const auto* event : { "started", "registered", "configuration_installed", "agent_attached", "entry_attached", "target_began", "job_accepted", "run_ended", "job_answered", "state" })
+        CHECK(events.contains(event));
+    CHECK(Contract::call(system.entryMetrics(0), "GET", "/metrics").body_.find("lagoonpick_jobs_total{end=\"done\"} 1") != std::string::npos);
+    CHECK(Contract::call(system.agentMetrics(0), "GET", "/metrics").body_.find("lagoonpick_run_ends_total{end=\"done\"} 2") != std::string::npos);
+}
+
+TEST_CASE("A caller that leaves has its job stopped", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    Contract::call(system.front(0), "POST", "/queue/00000000000000e1", jobBody(5000), 1);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(readFile(system.logs() + "/entry-0.log").value_or("").find("job_abandoned") != std::string::npos);
+    CHECK(readFile(system.recordFile()).value_or("").find("stopped") != std::string::npos);
+}
+
+TEST_CASE("Without the store, processes that run go on, and a new configuration is in force once it is back", "[RunsProgram]")
+{
+    SoakSystem system({ 2, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    Contract::call(system.store(), "POST", "/standin/fault", "outage");
+    std::this_thread::sleep_for(milliseconds(1500));
+    CHECK(submit(system, "00000000000000f1", jobBody(20)).member("state") == "done");
+    system.configure(7);
+    Contract::call(system.store(), "POST", "/standin/fault", "none");
+    std::this_thread::sleep_for(milliseconds(2000));
+    CHECK(Contract::call(system.entryMetrics(0), "GET", "/metrics").body_.find("lagoonpick_configuration_version 7") != std::string::npos);
+}
+
+} // namespace Lagoonpick::Soak
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -22,6 +22,9 @@
 
     const std::string& front(std::size_t entry) const { return entries_[entry].front_; }
     const std::string& ready(std::size_t entry) const { return entries_[entry].ready_; }
+    const std::string& entryMetrics(std::size_t entry) const { return entries_[entry].metrics_; }
+    const std::string& agentMetrics(std::size_t agent) const { return agents_[agent].metrics_; }
+    const std::string& control(std::size_t agent) const { return agents_[agent].control_; }
     std::size_t entryCount() const { return entries_.size(); }
     std::size_t agentCount() const { return agents_.size(); }
     std::string recordFile() const { return folder_.path() + "/runs"; }
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -129,6 +129,9 @@
     REQUIRE(agent.ends().size() == 1);
     CHECK(agent.ends()[0].end_ == expected);
     CHECK(agent.leases_.back().endsSeen_ == 1);
+    // A process that ended now would take the news with it.
+    CHECK_FALSE(agent.core_.isIdle());
+    agent.core_.receive(link, Wire::Pulse { .endsSeen_ = 1 }, agent.now_);
     CHECK(agent.core_.isIdle());
 }
 
