One copy of the runs' names in logs and of the links' limits; an unused overload is gone

Found on reading the whole change: nameOf(RunEnd) stood in both cores, linkLimits in both hosts, and EntryDirectory::add(vector) had no caller.

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonpick/Configuration/LoadSettings.h"
 #include "Lagoonpick/Core/Underlying.h"
+#include "Lagoonpick/Transport/RunLinkLimits.h"
 #include "platform/ConfigurationCodec.h"
 
 #include <fmt/format.h>
@@ -37,16 +38,6 @@
     return limits;
 }
 
-LinkLimits linkLimits()
-{
-    LinkLimits limits;
-    limits.maxLinks_ = 2000;
-    limits.maxBufferedBytes_ = 4'194'304;
-    limits.maxRedialDelay_ = std::chrono::milliseconds(250);
-    limits.handshakeTimeout_ = std::chrono::milliseconds(500);
-    return limits;
-}
-
 } // namespace
 
 JobEntryHost::JobEntryHost(boost::asio::io_context& context, JobEntrySettings settings, std::string settingsFile, std::uint64_t seed)
@@ -56,7 +47,7 @@
     , gaps_(maxGap)
     , log_(settings_.job_.name_, maxLogBytes)
     , core_(settings_.job_, seed)
-    , links_(context, linkLimits(),
+    , links_(context, runLinkLimits(),
           { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
               [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
                   Time now = enter();
--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -33,12 +33,6 @@
     return names[toUnderlying(refusal)];
 }
 
-std::string_view nameOf(RunEnd end)
-{
-    constexpr std::array<std::string_view, 5> names { "done", "failed", "stopped", "lost", "not_started" };
-    return names[toUnderlying(end)];
-}
-
 } // namespace
 
 JobCore::JobCore(JobSettings settings, std::uint64_t seed)
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -23,19 +23,6 @@
     return std::string_view(task).substr(0, task.find('.'));
 }
 
-std::string_view nameOf(RunEnd end)
-{
-    constexpr std::array<std::string_view, 5> names { "done", "failed", "stopped", "lost", "not_started" };
-    return names[toUnderlying(end)];
-}
-
-std::string_view nameOf(NotStartedReason reason)
-{
-    constexpr std::array<std::string_view, 9> names { "none", "no_room", "draining", "target_unavailable", "old_number",
-        "rejected", "unanswered", "recalled", "unknown" };
-    return names[toUnderlying(reason)];
-}
-
 } // namespace
 
 RunCore::RunCore(RunSettings settings)
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -45,6 +46,10 @@
     Unknown,
 };
 
+/// As logs name them.
+std::string_view nameOf(RunEnd end);
+std::string_view nameOf(NotStartedReason reason);
+
 /// Opens a link: who the entry is.
 struct EntryHello {
     std::uint32_t version_ { runProtocolVersion };
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonpick/Wire/RunMessageCodec.h"
 
+#include "Lagoonpick/Core/Underlying.h"
 #include "Lagoonpick/Wire/FrameCodec.h"
 
 namespace Lagoonpick::Wire {
@@ -78,6 +79,19 @@
         value.slownessPermille_, value.backlogMicroseconds_, value.typicalMicroseconds_, value.seenRun_);
 }
 
+std::string_view nameOf(RunEnd end)
+{
+    constexpr std::array<std::string_view, 5> names { "done", "failed", "stopped", "lost", "not_started" };
+    return names[toUnderlying(end)];
+}
+
+std::string_view nameOf(NotStartedReason reason)
+{
+    constexpr std::array<std::string_view, 9> names { "none", "no_room", "draining", "target_unavailable", "old_number",
+        "rejected", "unanswered", "recalled", "unknown" };
+    return names[toUnderlying(reason)];
+}
+
 std::string RunCodec::encode(std::span<const Message> messages)
 {
     return encodeFrame(messages);
--- a/RunAgent/EntryDirectory.cpp
+++ b/RunAgent/EntryDirectory.cpp
@@ -60,12 +60,6 @@
         note(address);
 }
 
-void EntryDirectory::add(const std::vector<std::string>& addresses)
-{
-    for (const auto& address : addresses)
-        note(address);
-}
-
 std::vector<std::string> EntryDirectory::addresses() const
 {
     std::vector<std::string> all;
--- a/RunAgent/EntryDirectory.h
+++ b/RunAgent/EntryDirectory.h
@@ -18,7 +18,6 @@
 
     /// Takes in addresses from elsewhere.
     void add(const std::set<std::string>& addresses);
-    void add(const std::vector<std::string>& addresses);
 
     std::vector<std::string> addresses() const;
 
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -1,6 +1,7 @@
 #include "RunAgent/RunAgentHost.h"
 
 #include "Lagoonpick/Configuration/LoadSettings.h"
+#include "Lagoonpick/Transport/RunLinkLimits.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,16 +31,6 @@
     return limits;
 }
 
-LinkLimits linkLimits()
-{
-    LinkLimits limits;
-    limits.maxLinks_ = 2000;
-    limits.maxBufferedBytes_ = 4'194'304;
-    limits.maxRedialDelay_ = std::chrono::milliseconds(250);
-    limits.handshakeTimeout_ = std::chrono::milliseconds(500);
-    return limits;
-}
-
 } // namespace
 
 RunAgentHost::RunAgentHost(boost::asio::io_context& context, RunAgentSettings settings, std::string settingsFile, std::uint64_t seed)
@@ -49,7 +40,7 @@
     , gaps_(maxGap)
     , log_(settings_.run_.name_, maxLogBytes)
     , core_(settings_.run_)
-    , links_(context, linkLimits(),
+    , links_(context, runLinkLimits(),
           { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
               [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
                   Time now = enter();
