Addresses of entries are given up a while after they were last heard of

Cause: an agent noted every told address anew each second, from a set that never shrank, so the address of an entry that had gone for good was dialled for ever. Change: one table of addresses with their age (AddressTable), used for what entries tell and for what the store lists; an entry that is attached counts as heard of, one whose link is lost is tried for 60 s. Test: RunsTest, 'An entry's address is tried while it is there and for a while after'; the old core has no age to test.

--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -295,8 +295,10 @@
 void RunCore::resume(Duration gap, Time now)
 {
     log(LogLine("resumed").milliseconds("gap_ms", gap));
-    for (auto& [incarnation, session] : sessions_)
-        session.link_.reset();
+    for (auto& [incarnation, session] : sessions_) {
+        if (session.link_)
+            dropLink(session, now);
+    }
     for (LinkId link : std::set(openLinks_))
         abort(link);
     checkSessions(now);
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Run/AddressTable.h"
 #include "Lagoonpick/Run/EntrySession.h"
 #include "Lagoonpick/Run/RunSettings.h"
 #include "Lagoonpick/Run/RunTable.h"
@@ -73,8 +74,8 @@
     const RunCounters& counters() const { return counters_; }
     const TargetState& target() const { return target_; }
     std::size_t runCount() const { return runs_.rows().size(); }
-    /// The addresses of entries that entries told of.
-    const std::set<std::string>& toldEntries() const { return toldEntries_; }
+    /// The addresses of the entries that are there, were there lately, or that others told of lately.
+    std::set<std::string> entryAddresses(Time now) const;
     std::uint64_t configurationVersion() const { return configuration_.version_; }
 
 private:
@@ -116,6 +117,8 @@
     void expireLease(Time now);
 
     void checkSessions(Time now);
+    /// The entry is away, but its address is tried for a while.
+    void dropLink(EntrySession& session, Time now);
     void sendPulses(Time now);
     void sendReports(Time now);
     void markReportsDue();
@@ -133,7 +136,7 @@
     /// Every link, also those whose other end has not said yet who it is.
     std::set<LinkId> openLinks_;
     std::map<LinkId, Incarnation> links_;
-    std::set<std::string> toldEntries_;
+    AddressTable knownEntries_;
     Wire::ConfigurationCopy configuration_;
     std::uint64_t fencingToken_;
     std::uint64_t lastCall_ { 0 };
--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -14,7 +14,6 @@
 
 /// An end that an entry does not confirm is kept in this number at most.
 constexpr std::size_t maxUnconfirmed = 4096;
-constexpr std::size_t maxToldEntries = 1024;
 
 } // namespace
 
@@ -27,7 +26,7 @@
 void RunCore::closed(LinkId link, Time now)
 {
     if (EntrySession* session = sessionOf(link)) {
-        session->link_.reset();
+        dropLink(*session, now);
         log(LogLine("entry_lost").text("entry", session->name_).milliseconds("silent_ms", now - session->lastHeard_));
     }
     links_.erase(link);
@@ -83,8 +82,6 @@
     session.isReportDue_ = true;
     session.nextPulse_ = now;
     session.configurationVersion_ = 0;
-    if (toldEntries_.size() < maxToldEntries)
-        toldEntries_.insert(hello.address_);
     for (const auto& ended : session.unconfirmed_)
         send(link, ended);
     log(LogLine("entry_attached").text("entry", hello.name_).number("ends_repeated", session.unconfirmed_.size()));
@@ -116,12 +113,21 @@
     }
 }
 
-void RunCore::handle(LinkId, const Wire::EntryAddresses& entries, Time)
+void RunCore::handle(LinkId, const Wire::EntryAddresses& entries, Time now)
 {
-    for (const auto& address : entries.addresses_) {
-        if (toldEntries_.size() < maxToldEntries)
-            toldEntries_.insert(address);
+    for (const auto& address : entries.addresses_)
+        knownEntries_.note(address, now);
+}
+
+std::set<std::string> RunCore::entryAddresses(Time now) const
+{
+    auto recent = knownEntries_.addresses(now);
+    std::set<std::string> all(recent.begin(), recent.end());
+    for (const auto& [incarnation, session] : sessions_) {
+        if (session.link_)
+            all.insert(session.address_);
     }
+    return all;
 }
 
 void RunCore::handle(LinkId link, const Wire::StartRun& message, Time now)
@@ -181,6 +187,12 @@
         send(*session.link_, ended);
 }
 
+void RunCore::dropLink(EntrySession& session, Time now)
+{
+    session.link_.reset();
+    knownEntries_.note(session.address_, now);
+}
+
 void RunCore::checkSessions(Time now)
 {
     for (auto next = sessions_.begin(); next != sessions_.end();) {
@@ -193,7 +205,7 @@
         if (session.link_) {
             log(LogLine("entry_silent").text("entry", session.name_).milliseconds("silent_ms", silence));
             abort(*session.link_);
-            session.link_.reset();
+            dropLink(session, now);
         }
         stopRunsOf(incarnation, "entry_silent", now);
         bool hasRuns = std::any_of(runs_.rows().begin(), runs_.rows().end(), [incarnation](const auto& row) { return row.second.entry_ == incarnation; });
--- a/RunAgent/EntryDirectory.cpp
+++ b/RunAgent/EntryDirectory.cpp
@@ -16,14 +16,13 @@
 /// While everything starts, entries are listed as soon as they are there.
 constexpr Duration firstListInterval = std::chrono::milliseconds(200);
 constexpr int firstLists = 15;
-/// How long an address that is no longer listed is still tried.
-constexpr auto addressLifetime = std::chrono::seconds(60);
 
 } // namespace
 
-EntryDirectory::EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, std::function<void()> changed, std::function<void(bool)> reached)
+EntryDirectory::EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, std::function<void()> changed, std::function<void(bool)> reached)
     : context_(context)
     , store_(store)
+    , clock_(clock)
     , changed_(std::move(changed))
     , reached_(std::move(reached))
 {
@@ -45,8 +44,7 @@
         }
         if (items) {
             for (const auto& item : items.value())
-                note(item.value_);
-            forgetOld();
+                listed_.note(item.value_, clock_.now());
             changed_();
         }
         pause.expires_after(round < firstLists ? firstListInterval : listInterval);
@@ -54,29 +52,4 @@
     }
 }
 
-void EntryDirectory::add(const std::set<std::string>& addresses)
-{
-    for (const auto& address : addresses)
-        note(address);
-}
-
-std::vector<std::string> EntryDirectory::addresses() const
-{
-    std::vector<std::string> all;
-    for (const auto& [address, seenAt] : seenAt_)
-        all.push_back(address);
-    return all;
-}
-
-void EntryDirectory::note(const std::string& address)
-{
-    seenAt_[address] = std::chrono::steady_clock::now();
-}
-
-void EntryDirectory::forgetOld()
-{
-    auto limit = std::chrono::steady_clock::now() - addressLifetime;
-    std::erase_if(seenAt_, [limit](const auto& entry) { return entry.second < limit; });
-}
-
 } // namespace Lagoonpick
--- a/RunAgent/EntryDirectory.h
+++ b/RunAgent/EntryDirectory.h
@@ -1,38 +1,33 @@
 #pragma once
 
+#include "Lagoonpick/Core/BootTime.h"
+#include "Lagoonpick/Run/AddressTable.h"
 #include "platform/StoreClient.h"
 
 #include <functional>
-#include <map>
-#include <set>
 
 namespace Lagoonpick {
 
-/// The addresses of the entries, from the platform's store and from what others tell. An address that the store no
-/// longer lists is kept for a while, for the store may have lost it although its entry lives.
+/// The addresses of the entries that the platform's store lists. An address that it no longer lists is kept for a while,
+/// for the store may have lost it although its entry lives.
 class EntryDirectory {
 public:
-    EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, std::function<void()> changed, std::function<void(bool isReached)> reached);
+    EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, std::function<void()> changed, std::function<void(bool isReached)> reached);
 
     void start();
 
-    /// Takes in addresses from elsewhere.
-    void add(const std::set<std::string>& addresses);
-
-    std::vector<std::string> addresses() const;
+    std::vector<std::string> addresses(Time now) const { return listed_.addresses(now); }
 
 private:
     boost::asio::awaitable<void> run();
-    void note(const std::string& address);
-    void forgetOld();
 
     boost::asio::io_context& context_;
     UsersPlatform::StoreClient& store_;
+    const BootTime& clock_;
     std::function<void()> changed_;
     std::function<void(bool)> reached_;
     bool isReached_ { true };
-    /// When each address was last listed or told.
-    std::map<std::string, std::chrono::steady_clock::time_point> seenAt_;
+    AddressTable listed_;
 };
 
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -22,12 +22,15 @@
 /// A start takes a few milliseconds; one that takes so long was not taken, or its answer was lost.
 constexpr Duration startTimeout = std::chrono::milliseconds(35);
 constexpr std::uint64_t maxTargetBodyBytes = 4'194'304;
+/// Room for two of the largest heartbeats at a time, a tenth of an agent's memory.
+constexpr std::uint64_t maxHeldHeartbeatBytes = 2 * maxTargetBodyBytes;
 
 HttpLimits controlLimits()
 {
     HttpLimits limits;
     limits.maxConnections_ = 64;
-    limits.maxBodyBytes_ = 4'194'304;
+    limits.maxBodyBytes_ = maxTargetBodyBytes;
+    limits.maxHeldBytes_ = maxHeldHeartbeatBytes;
     return limits;
 }
 
@@ -54,7 +57,7 @@
     , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdle)
     , store_(context, settings_.storeAddress_, storeTimeout)
     , entries_(
-          context, store_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
+          context, store_, clock_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
     , targetKeeper_(context, store_, settings_.run_.name_)
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
@@ -201,14 +204,13 @@
 
 void RunAgentHost::wantEntries()
 {
-    entries_.add(core_.toldEntries());
-    auto addresses = entries_.addresses();
-    for (const auto& seed : settings_.seeds_) {
-        auto address = onHostOf(seed, settings_.entryLinkAddress_);
-        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
-            addresses.push_back(address);
-    }
-    links_.want(addresses);
+    Time now = clock_.now();
+    auto addresses = core_.entryAddresses(now);
+    for (auto& address : entries_.addresses(now))
+        addresses.insert(std::move(address));
+    for (const auto& seed : settings_.seeds_)
+        addresses.insert(onHostOf(seed, settings_.entryLinkAddress_));
+    links_.want({ addresses.begin(), addresses.end() });
 }
 
 void RunAgentHost::reload()
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -369,6 +369,35 @@
     CHECK(agent.aborted_ == std::vector { link });
 }
 
+TEST_CASE("An entry's address is tried while it is there and for a while after, however often it is asked for")
+{
+    const std::set<std::string> attached { "10.0.0.1:1" };
+    const std::set<std::string> both { "10.0.0.1:1", "10.0.0.9:1" };
+    AgentAtWork agent;
+    agent.core_.receive(link, Wire::EntryAddresses { { "10.0.0.9:1" } }, agent.now_);
+    for (int second = 0; second <= 60; ++second) {
+        CHECK(agent.core_.entryAddresses(agent.now_) == both);
+        agent.passWithPulses(std::chrono::seconds(1));
+    }
+    CHECK(agent.core_.entryAddresses(agent.now_) == attached);
+    agent.pass(std::chrono::seconds(60));
+    CHECK(agent.core_.entryAddresses(agent.now_) == attached);
+    agent.pass(std::chrono::seconds(61));
+    CHECK(agent.core_.entryAddresses(agent.now_).empty());
+}
+
+TEST_CASE("A table of addresses stays bounded and makes room by giving up old ones")
+{
+    AddressTable table;
+    Time now { std::chrono::hours(1) };
+    for (int i = 0; i < 3000; ++i)
+        table.note("10.0.0.1:" + std::to_string(i), now);
+    CHECK(table.addresses(now).size() == 1024);
+    now += std::chrono::minutes(2);
+    table.note("10.0.0.2:1", now);
+    CHECK(table.addresses(now) == std::vector<std::string> { "10.0.0.2:1" });
+}
+
 TEST_CASE("An agent that does not know a run says so, and never starts it")
 {
     AgentAtWork agent;
