The bodies of all requests together, and connections, are bounded at every server

Cause: only single bodies were bounded; 1,500 requests that never arrive whole took 359 MB at an entry (limit 260), 60 heartbeats took 236 MB at an agent (limit 128). Change: HttpLimits::maxHeldBytes_; the connection whose request has been awaited longest makes room, also when the number of connections is at its limit. Ruled out: cancelling the read (closed 0 of 60: a connection that is just between two reads goes on).

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -19,17 +19,20 @@
 constexpr Duration reloadCheckInterval = std::chrono::seconds(1);
 /// Descriptors that links, the store and files need besides callers' connections.
 constexpr std::uint32_t reservedDescriptors = 600;
+/// An eighth of an entry's memory: a body is also parsed and kept with its job.
+constexpr std::uint64_t maxHeldRequestBytes = 33'554'432;
 
 HttpLimits frontLimits()
 {
     HttpLimits limits;
     limits.maxConnections_ -= reservedDescriptors;
     limits.maxBodyBytes_ = 262'144;
+    limits.maxHeldBytes_ = maxHeldRequestBytes;
     limits.readTimeout_ = std::chrono::seconds(15);
     return limits;
 }
 
-HttpLimits controlLimits()
+HttpLimits serviceLimits()
 {
     HttpLimits limits;
     limits.maxConnections_ = 64;
@@ -57,13 +60,13 @@
               } },
           seed + 1)
     , front_(context, frontLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
-    , ready_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+    , ready_(context, serviceLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
         if (UsersPlatform::isReadinessPath(request.path_))
             respond(UsersPlatform::encodeReadiness(core_.isReady()));
         else
             respond(UsersPlatform::encodeNoSuchJob());
     })
-    , metrics_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
+    , metrics_(context, serviceLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , store_(context, settings_.storeAddress_, storeTimeout)
     , configuration_(context, store_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this] { core_.confirmConfiguration(enter()); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -54,6 +54,14 @@
     return response;
 }
 
+HttpResponse problemForFullServer()
+{
+    constexpr std::uint32_t statusUnavailable = 503;
+    HttpResponse response { .status_ = statusUnavailable, .contentType_ = "application/problem+json", .body_ = R"({"type":"urn:lagoonpick:problem:overloaded","title":"overloaded","status":503,"run":"no","submission_run":"unknown"})", .stream_ = {} };
+    response.retryAfterSeconds_ = 1;
+    return response;
+}
+
 /// True if the other side has closed its connection, as far as that is known here.
 bool hasEnded(tcp::socket& socket)
 {
@@ -118,6 +126,12 @@
         beast::tcp_stream stream_;
         beast::flat_buffer buffer_;
         bool isBusy_ { false };
+        /// Closed for the sake of others; its coroutine has yet to end.
+        bool isEvicted_ { false };
+        /// Since when its next request has been awaited.
+        std::chrono::steady_clock::time_point waitingSince_ { std::chrono::steady_clock::now() };
+        /// What its request's body may take.
+        std::uint64_t heldBytes_ { 0 };
     };
 
     State(asio::io_context& context, HttpLimits limits, Handler handler)
@@ -141,7 +155,7 @@
                 co_await pause.async_wait(useTuple);
                 continue;
             }
-            if (sessions_.size() >= limits_.maxConnections_)
+            if (sessions_.size() - evictedCount_ >= limits_.maxConnections_ && !evictSlowest(0))
                 continue;
             beast::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
@@ -157,9 +171,46 @@
         while (co_await serveOne(session)) { }
         beast::error_code ignored;
         session->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        evictedCount_ -= session->isEvicted_ ? 1 : 0;
         sessions_.erase(place);
     }
 
+    /// Closes the connection whose request has been awaited longest, of those that hold at least so much for its body.
+    bool evictSlowest(std::uint64_t minHeldBytes)
+    {
+        std::shared_ptr<Session> slowest;
+        for (const auto& session : sessions_) {
+            bool isCandidate = !session->isBusy_ && !session->isEvicted_ && session->heldBytes_ >= minHeldBytes;
+            if (isCandidate && (!slowest || session->waitingSince_ < slowest->waitingSince_))
+                slowest = session;
+        }
+        if (!slowest)
+            return false;
+        slowest->isEvicted_ = true;
+        ++evictedCount_;
+        release(*slowest);
+        // A cancelled read would go on if it is just between two reads.
+        slowest->stream_.close();
+        return true;
+    }
+
+    /// Makes room for a request's body; false if requests that were taken whole hold all of it.
+    bool hold(Session& session, std::uint64_t bytes)
+    {
+        while (heldBytes_ + bytes > limits_.maxHeldBytes_) {
+            if (!evictSlowest(1))
+                return false;
+        }
+        session.heldBytes_ = bytes;
+        heldBytes_ += bytes;
+        return true;
+    }
+
+    void release(Session& session)
+    {
+        heldBytes_ -= std::exchange(session.heldBytes_, 0);
+    }
+
     asio::awaitable<bool> serveOne(const std::shared_ptr<Session>& shared)
     {
         Session& session = *shared;
@@ -167,8 +218,17 @@
         parser.header_limit(limits_.maxHeaderBytes_);
         parser.body_limit(limits_.maxBodyBytes_);
         session.stream_.expires_after(limits_.readTimeout_);
-        auto [error, size] = co_await http::async_read(session.stream_, session.buffer_, parser, useTuple);
-        if (error) {
+        session.waitingSince_ = std::chrono::steady_clock::now();
+        auto [error, size] = co_await http::async_read_header(session.stream_, session.buffer_, parser, useTuple);
+        if (!error && !session.isEvicted_ && !parser.is_done()) {
+            if (!hold(session, parser.content_length().value_or(limits_.maxBodyBytes_))) {
+                co_await write(session, problemForFullServer(), false);
+                co_return false;
+            }
+            std::tie(error, size) = co_await http::async_read(session.stream_, session.buffer_, parser, useTuple);
+        }
+        if (error || session.isEvicted_) {
+            release(session);
             if (isProtocolError(error))
                 co_await write(session, problemForReadError(error), false);
             co_return false;
@@ -178,8 +238,10 @@
         auto message = parser.release();
         bool keepAlive = message.keep_alive();
         // A process that stood still finds requests whose callers have gone elsewhere since.
-        if (hasEnded(session.stream_.socket()))
+        if (hasEnded(session.stream_.socket())) {
+            release(session);
             co_return false;
+        }
         HttpRequest request = toRequest(std::move(message));
         auto presence = request.presence_;
         watchPresence(shared, presence);
@@ -188,6 +250,7 @@
         keepAlive = keepAlive && !isStopping_ && !response.mustClose_;
         bool isWritten = !response.isDropped_ && co_await write(session, std::move(response), keepAlive);
         session.isBusy_ = false;
+        release(session);
         co_return isWritten&& keepAlive;
     }
 
@@ -264,6 +327,8 @@
     HttpLimits limits_;
     Handler handler_;
     std::list<std::shared_ptr<Session>> sessions_;
+    std::size_t evictedCount_ { 0 };
+    std::uint64_t heldBytes_ { 0 };
     bool isStopping_ { false };
 };
 
--- a/Lagoonpick/Transport/HttpServer.h
+++ b/Lagoonpick/Transport/HttpServer.h
@@ -9,6 +9,8 @@
     std::uint32_t maxConnections_ { 4096 };
     std::uint32_t maxHeaderBytes_ { 16'384 };
     std::uint64_t maxBodyBytes_ { 8'388'608 };
+    /// The bodies of all requests that arrive or are handled at one time.
+    std::uint64_t maxHeldBytes_ { 268'435'456 };
     /// How long a request may take to arrive, from its connection's opening or the last response.
     Duration readTimeout_ { std::chrono::seconds(60) };
     /// How long a response may take to be read by the other side.
@@ -17,6 +19,9 @@
 
 /// An HTTP/1.1 server on one address. Requests of one connection are handled one after the other.
 ///
+/// When connections or bodies reach their limit, the connection whose request has been awaited longest is closed for the
+/// sake of the new one; a request that was taken whole is never dropped.
+///
 /// Lives on one `io_context` that one thread runs. Not for streaming request bodies.
 class HttpServer {
 public:
--- /dev/null
+++ b/Soak/RunsLimitsTest.cpp
@@ -0,0 +1,83 @@
+#include "ContractTests/Support/Caller.h"
+#include "Soak/SoakSystem.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <list>
+#include <thread>
+
+namespace Lagoonpick::Soak {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int patienceSeconds = 10;
+
+/// Connections that each send the first part of a request and then neither send nor read anything.
+class StalledClients {
+public:
+    StalledClients(const std::string& address, std::size_t count, const std::string& path, std::size_t sentBytes)
+    {
+        const std::string host = address.substr(0, address.rfind(':'));
+        const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+        const std::string text = fmt::format("POST {} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {}\r\n\r\n{}", path, sentBytes + 1, std::string(sentBytes, '{'));
+        for (std::size_t i = 0; i < count; ++i) {
+            tcp::socket& socket = sockets_.emplace_back(context_);
+            boost::system::error_code error;
+            socket.connect({ asio::ip::make_address(host), port }, error);
+            socket.non_blocking(true, error);
+            // What does not fit into the buffers on the way is left out: the process at the other end does not read it.
+            socket.write_some(asio::buffer(text), error);
+        }
+    }
+
+private:
+    asio::io_context context_;
+    std::list<tcp::socket> sockets_;
+};
+
+/// The most memory that a process holds over a while, in megabytes.
+std::uint64_t peakMegabytes(const Contract::Process& process, std::chrono::milliseconds span)
+{
+    constexpr std::chrono::milliseconds step { 50 };
+    std::uint64_t peak = 0;
+    for (std::chrono::milliseconds passed {}; passed < span; passed += step) {
+        peak = std::max(peak, process.residentKilobytes() / 1024);
+        std::this_thread::sleep_for(step);
+    }
+    return peak;
+}
+
+} // namespace
+
+TEST_CASE("Requests that never arrive whole don't take an entry's memory, nor the place of those that do", "[RunsLimits]")
+{
+    constexpr std::uint64_t entryMegabytes = 260;
+    constexpr std::size_t clients = 1500;
+    constexpr std::size_t bodyBytes = 240'000;
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    StalledClients stalled(system.front(0), clients, "/queue/00000000000000a1", bodyBytes);
+    CHECK(peakMegabytes(system.entryProcess(0), std::chrono::seconds(2)) < entryMegabytes / 2);
+    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000a2", R"({"spec":"work_ms=20 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":100}],"best_effort":true})", patienceSeconds);
+    INFO(answer.status_ << " " << answer.body_);
+    CHECK(answer.member("state") == "done");
+}
+
+TEST_CASE("Heartbeats that never arrive whole don't take an agent's memory", "[RunsLimits]")
+{
+    constexpr std::uint64_t agentMegabytes = 128;
+    constexpr std::size_t clients = 60;
+    constexpr std::size_t bodyBytes = 4'000'000;
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    StalledClients stalled(system.control(0), clients, "/lagoonpick/instances/other/heartbeat", bodyBytes);
+    CHECK(peakMegabytes(system.agentProcess(0), std::chrono::seconds(2)) < agentMegabytes / 2);
+}
+
+} // namespace Lagoonpick::Soak
