--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -17,6 +17,7 @@
     writeMetricHead(text, "lagoonpick_runs_total", "counter", "Runs that agents were asked for.");
     writeMetric(text, "lagoonpick_runs_total", "kind=\"first\"", static_cast<double>(counters.runs_ - counters.repeatedRuns_));
     writeMetric(text, "lagoonpick_runs_total", "kind=\"repeated\"", static_cast<double>(counters.repeatedRuns_));
+    writeMetric(text, "lagoonpick_runs_moved_total", "", static_cast<double>(counters.movedRuns_));
     writeMetricHead(text, "lagoonpick_jobs_held", "gauge", "Jobs that wait for their answer.");
     writeMetric(text, "lagoonpick_jobs_held", "", static_cast<double>(core.jobCount()));
     writeMetricHead(text, "lagoonpick_configuration_version", "gauge", "The version of the configuration in force.");
--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -120,6 +120,7 @@
     if (auto agent = agents_.find(task.agent_); agent != agents_.end())
         agent->second.runs_.erase(run);
     task.run_ = 0;
+    task.isMoving_ = false;
     if (end != RunEnd::NotStarted)
         job.hasBegun_ = true;
     if (end == RunEnd::Done) {
--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -37,6 +37,7 @@
     std::uint64_t doneLate_ { 0 };
     std::uint64_t runs_ { 0 };
     std::uint64_t repeatedRuns_ { 0 };
+    std::uint64_t movedRuns_ { 0 };
 };
 
 /// The decisions of an entry about jobs that are answered when they have ended: which are taken, where their tasks run,
@@ -109,7 +110,12 @@
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// The agents that a task may be placed on, a random few of them where there are many.
     std::vector<Incarnation> sampleAgents(const HeldJob& job, const JobTask& task, Time now);
-    Incarnation chooseAgent(const HeldJob& job, const JobTask& task, Time now);
+    /// Where a task is best placed, and when it is expected to end there.
+    struct Placement {
+        Incarnation agent_;
+        Duration finish_ {};
+    };
+    Placement chooseAgent(const HeldJob& job, const JobTask& task, Time now);
     void startOn(Incarnation agent, JobKey key, HeldJob& job, std::uint32_t task, Time now);
     void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Time now);
     void retry(JobKey key, std::uint32_t task, Time now);
--- a/Lagoonpick/Job/JobCoreLinks.cpp
+++ b/Lagoonpick/Job/JobCoreLinks.cpp
@@ -13,6 +13,17 @@
 
 /// One in so many pulses from an agent with an older configuration is answered with the newer one: others send it too.
 constexpr std::uint64_t copyOneIn = 3;
+/// The time for a stop and for the way to another target.
+constexpr Duration moveTime = std::chrono::milliseconds(20);
+/// A pace is known to about a tenth; a move must gain more than that, for it throws work away.
+constexpr double leastOfRemaining = 0.8;
+/// Expected times are off by nearly half: a job is hopeless only if half of them would be too long.
+constexpr double leastOfExpected = 0.5;
+
+Duration scale(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(factor * static_cast<double>(duration.count())));
+}
 
 } // namespace
 
@@ -108,8 +119,34 @@
     endRun(ended.run_, ended.end_, ended.reason_, now);
 }
 
-void JobCore::handle(LinkId, const Wire::RunStalled&, Time)
+/// Answers the load pattern of targets that turn slow or hang under runs which are there: a run that would end much later
+/// than a new one elsewhere is stopped and placed anew, and a job that nothing can save is answered at once.
+void JobCore::handle(LinkId link, const Wire::RunStalled& stalled, Time now)
 {
+    auto found = runs_.find(stalled.run_);
+    if (found == runs_.end())
+        return;
+    RunPlace place = found->second;
+    HeldJob& job = jobs_[place.job_];
+    JobTask& task = job.tasks_[place.task_];
+    if (job.isRecalled_ || task.isMoving_ || task.moves_ >= JobTask::maxMoves)
+        return;
+    task.avoided_.insert(task.agent_);
+    Placement elsewhere = chooseAgent(job, task, now);
+    Duration remaining = scale(Duration(static_cast<Duration::rep>(stalled.remainingMicroseconds_)), leastOfRemaining);
+    bool isElsewhere = elsewhere.agent_.isValid() && elsewhere.agent_ != task.agent_;
+    Duration left = job.deadline_ - now;
+    if (remaining > left && (!isElsewhere || scale(elsewhere.finish_, leastOfExpected) > left)) {
+        recall(place.job_, JobRefusal::Deadline, now);
+        return;
+    }
+    if (!isElsewhere || elsewhere.finish_ + moveTime > remaining)
+        return;
+    log(LogLine("run_moved").text("job", job.request_.id_).number("task", place.task_).text("agent", agentOf(link)->name_).milliseconds("remaining_ms", remaining).milliseconds("elsewhere_ms", elsewhere.finish_));
+    ++counters_.movedRuns_;
+    ++task.moves_;
+    task.isMoving_ = true;
+    send(link, Wire::StopRun { stalled.run_ });
 }
 
 void JobCore::handle(LinkId link, const Wire::TargetReport& report, Time now)
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -125,20 +125,21 @@
 
 /// Answers the load pattern of many entries that choose by reports which are out of date by then: each looks at a few
 /// targets of its own, so that they don't all take the one that looked best.
-Incarnation JobCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
+JobCore::Placement JobCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
 {
     std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
-    Incarnation best;
+    Placement best;
     double bestCost = 0;
     for (Incarnation incarnation : sampleAgents(job, task, now)) {
         const AgentRow& agent = agents_[incarnation];
         TargetLoadView load = agent.load();
-        double cost = static_cast<double>(expectOn(load, job.request_.need_, workOn(job, agent)).finish().count());
+        Duration finish = expectOn(load, job.request_.need_, workOn(job, agent)).finish();
+        double cost = static_cast<double>(finish.count());
         cost += loadWeight * usedShare(load) * static_cast<double>(job.work_.count()) * spread(random_);
         if (task.avoided_.contains(incarnation))
             cost += static_cast<double>(job.work_.count()) * 4;
-        if (!best.isValid() || cost < bestCost) {
-            best = incarnation;
+        if (!best.agent_.isValid() || cost < bestCost) {
+            best = { incarnation, finish };
             bestCost = cost;
         }
     }
@@ -147,7 +148,7 @@
 
 void JobCore::place(JobKey key, HeldJob& job, std::uint32_t task, Time now)
 {
-    Incarnation agent = chooseAgent(job, job.tasks_[task], now);
+    Incarnation agent = chooseAgent(job, job.tasks_[task], now).agent_;
     if (agent.isValid())
         startOn(agent, key, job, task, now);
 }
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -12,6 +12,8 @@
 struct JobTask {
     /// How often a task is returned at once by targets that seemed to have room; then it waits where it is.
     static constexpr std::uint32_t maxBounces = 3;
+    /// Each move throws work away: a task that stalls again after so many is slow itself.
+    static constexpr std::uint32_t maxMoves = 2;
 
     bool isDone_ { false };
     /// The run that is under way; 0 if the task waits to be placed.
@@ -22,6 +24,10 @@
     std::uint32_t failures_ { 0 };
     /// How often a target that seemed to have room had none.
     std::uint32_t bounces_ { 0 };
+    /// How often it was taken from a target that had turned slow.
+    std::uint32_t moves_ { 0 };
+    /// Its run is being stopped to be started elsewhere.
+    bool isMoving_ { false };
     /// The agents on which it did not work out.
     std::set<Incarnation> avoided_;
 };
--- a/Lagoonpick/Run/Backlog.cpp
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -39,7 +39,8 @@
             continue;
         }
         Duration expected = scale(run.work_, slowness);
-        places.push(std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, leastRemainingShare)));
+        auto guess = std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, leastRemainingShare));
+        places.push(run.progress_.remaining(now).value_or(guess));
     }
     std::size_t count = countPlaces(runs, capacity);
     while (places.size() < count)
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -18,11 +18,6 @@
 /// How far a fencing token is raised once a higher one was met: beyond any step of the clock it was made from.
 constexpr std::uint64_t tokenStep = 3'600'000;
 
-std::string_view jobOf(const std::string& task)
-{
-    return std::string_view(task).substr(0, task.find('.'));
-}
-
 } // namespace
 
 RunCore::RunCore(RunSettings settings)
@@ -105,6 +100,7 @@
         return;
     run.phase_ = RunPhase::Starting;
     run.startSentAt_ = now;
+    run.progress_.begin(run.work_, now);
     run.doubtedAt_.reset();
     std::int64_t leaseUntil = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
     leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
@@ -154,7 +150,7 @@
         return;
     case CallAnswer::Rejected:
     case CallAnswer::Malformed:
-        monitor_.recordFailure(jobOf(run->name_.task_));
+        monitor_.recordFailure(run->name_.job());
         end(reply.call_, RunEnd::NotStarted, NotStartedReason::Rejected, now);
         return;
     }
@@ -237,11 +233,11 @@
     switch (end) {
     case RunEnd::Done:
         ++counters_.done_;
-        monitor_.recordDone(took, run.work_);
+        monitor_.recordDone(took, run.work_, now);
         break;
     case RunEnd::Failed:
         ++counters_.failed_;
-        monitor_.recordFailure(jobOf(run.name_.task_));
+        monitor_.recordFailure(run.name_.job());
         break;
     case RunEnd::Stopped:
         ++counters_.stopped_;
@@ -341,6 +337,7 @@
     keepLease(now);
     startWhatFits(now);
     dropOverdue(now);
+    reportStalls(now);
     sendPulses(now);
     sendReports(now);
 }
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -101,6 +101,9 @@
     void revokeStart(RunId id, Run& run, Time now);
     void repeatStops(Time now);
     void dropOverdue(Time now);
+    void reportStalls(Time now);
+    /// How many times as long as expected tasks take here, by those that ended and those that run.
+    double slowness(Time now) const;
     void end(RunId id, Wire::RunEnd end, Wire::NotStartedReason reason, Time now);
     void tell(Incarnation entry, EntrySession& session, Wire::RunEnded ended);
     void refuseQueued(Wire::NotStartedReason reason, Time now);
--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -246,7 +246,7 @@
 {
     constexpr double permille = 1000;
     const TargetHeartbeat& heartbeat = target_.heartbeat();
-    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(monitor_.slowness() * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, monitor_.slowness(), now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(slowness(now) * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, slowness(now), now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
 }
 
 void RunCore::send(LinkId link, Wire::RunMessage message)
--- a/Lagoonpick/Run/RunCoreLease.cpp
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -131,6 +131,7 @@
         }
         listed.insert(id);
         Run& run = *runs_.find(id);
+        run.progress_.note(row.percent_, now);
         if (run.phase_ == RunPhase::Starting) {
             run.phase_ = RunPhase::Running;
             ++counters_.started_;
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonpick/Run/RunProgress.h"
 #include "Lagoonpick/Run/TargetCalls.h"
 
 #include <map>
@@ -41,6 +42,9 @@
     /// When the target was heard to have begun it, or to have taken the stop.
     Time answeredAt_;
     Time stopSentAt_;
+    RunProgress progress_;
+    /// When its entry may be told next that it stalls.
+    Time nextStallReport_;
     /// Why it never began, should it turn out that it did not.
     Wire::NotStartedReason reason_ { Wire::NotStartedReason::None };
 };
--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// What an agent asks of the target beside it and what the target answers, free of any wire's names.
@@ -24,6 +25,8 @@
 struct RunName {
     std::string task_;
     std::uint32_t number_ { 0 };
+    /// The job that the task belongs to.
+    std::string_view job() const { return std::string_view(task_).substr(0, task_.find('.')); }
     friend auto operator<=>(const RunName&, const RunName&) = default;
 };
 
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -19,10 +19,12 @@
 constexpr double typicalWeight = 0.02;
 /// Tasks differ in themselves; a single one can't say that a target is more than this many times slower.
 constexpr double maxSampleRatio = 20;
+/// A target that looks slow gets little to run: its slowness is forgotten, or it would never be tried again.
+constexpr Duration memory = std::chrono::seconds(5);
 
 } // namespace
 
-void TargetMonitor::recordDone(Duration took, Duration work)
+void TargetMonitor::recordDone(Duration took, Duration work, Time now)
 {
     failureShare_ -= failureWeight * failureShare_;
     noteSuspicion();
@@ -32,7 +34,9 @@
     double weight = std::max(steadyWeight, 1 / (samples_ + 1));
     double ratio = static_cast<double>(took.count()) / static_cast<double>(work.count());
     ratio = std::clamp(ratio, 1 / maxSampleRatio, maxSampleRatio);
-    logSlowness_ += weight * (std::log(ratio) - logSlowness_);
+    double former = std::log(slowness(now));
+    logSlowness_ = former + weight * (std::log(ratio) - former);
+    sampledAt_ = now;
     double microseconds = static_cast<double>(took.count());
     typicalMicroseconds_ += std::max(typicalWeight, 1 / samples_) * (microseconds - typicalMicroseconds_);
 }
@@ -54,9 +58,10 @@
         isSuspect_ = false;
 }
 
-double TargetMonitor::slowness() const
+double TargetMonitor::slowness(Time now) const
 {
-    return std::exp(logSlowness_);
+    std::chrono::duration<double> age = now - sampledAt_;
+    return std::exp(logSlowness_ * std::exp(-age / std::chrono::duration<double>(memory)));
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -12,7 +12,7 @@
 class TargetMonitor {
 public:
     /// Takes in a run that ended as done. `work` is what it was expected to take on a target of slowness 1.
-    void recordDone(Duration took, Duration work);
+    void recordDone(Duration took, Duration work, Time now);
 
     /// Takes in a run that the target failed or rejected. Failures of one job count once: the job may be at fault.
     void recordFailure(std::string_view job);
@@ -20,7 +20,8 @@
     /// True from when the runs of several jobs have failed until most are done again.
     bool isSuspect() const { return isSuspect_; }
 
-    double slowness() const;
+    /// How many times as long as expected runs took; what was seen long ago counts little.
+    double slowness(Time now) const;
     Duration typicalTime() const { return Duration(static_cast<Duration::rep>(typicalMicroseconds_)); }
 
 private:
@@ -28,6 +29,7 @@
 
     double logSlowness_ { 0 };
     double samples_ { 0 };
+    Time sampledAt_;
     double typicalMicroseconds_ { 0 };
     /// Of the newest ends; the failures of one job in a row count once.
     double failureShare_ { 0 };
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -136,6 +136,8 @@
 /// A run makes no progress, or hardly any, compared with what was expected.
 struct RunStalled {
     std::uint64_t run_ { 0 };
+    /// How long it would still take at its present pace.
+    std::uint64_t remainingMicroseconds_ { 0 };
     bool operator==(const RunStalled&) const = default;
 };
 
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -70,7 +70,7 @@
 
 void describe(auto& archive, Is<RunStalled> auto& value)
 {
-    archive(value.run_);
+    archive(value.run_, value.remainingMicroseconds_);
 }
 
 void describe(auto& archive, Is<TargetReport> auto& value)
--- a/StandIns/LeasedTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/LeasedTarget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Lagoonpick::StandIns {
@@ -10,6 +11,13 @@
 
 constexpr std::int64_t maxLeaseMs = 1000;
 
+std::uint32_t percentOf(const LeasedTarget::Running& run)
+{
+    constexpr double percent = 100;
+    double done = 1 - static_cast<double>(run.left_.count()) / static_cast<double>(std::max<Duration::rep>(run.work_.count(), 1));
+    return static_cast<std::uint32_t>(done * percent);
+}
+
 } // namespace
 
 LeasedTarget::LeasedTarget(std::string id, Wire::Resources capacity, double clockRate, Hooks hooks)
@@ -30,8 +38,11 @@
 {
     std::vector<std::pair<RunName, RunEnd>> over;
     bool isLeaseOver = clock(now) > leaseUntil_;
-    for (const auto& [name, run] : running_) {
-        if (run.endsAt_ <= now)
+    auto progress = Duration(static_cast<Duration::rep>(speed_ * static_cast<double>((now - std::exchange(advancedAt_, now)).count())));
+    for (auto& [name, run] : running_) {
+        if (!run.hangs_)
+            run.left_ = std::max<Duration>(run.left_ - progress, Duration());
+        if (!run.left_.count())
             over.emplace_back(name, run.fails_ || isFailing_ ? RunEnd::Failed : RunEnd::Done);
         else if (isLeaseOver)
             over.emplace_back(name, RunEnd::Stopped);
@@ -69,8 +80,8 @@
         leaseUntil_ = std::max(leaseUntil_, std::min(start.leaseUntil_, clock(now) + maxLeaseMs));
         wasOverfilled_ = wasOverfilled_ || (!isLate && !hasRoom(capacity_, used, run.need_));
         highest_[start.name_.task_] = start.name_.number_;
-        run.endsAt_ = now + (run.endsAt_ - Time());
         run.isLate_ = isLate;
+        run.hangs_ = isHanging_;
         running_[start.name_] = run;
         hooks_.began_(start.name_);
     }
@@ -106,17 +117,24 @@
         leaseUntil_ = std::max(leaseUntil_, std::min(*call.leaseUntil_, clock(now) + maxLeaseMs));
     std::erase_if(ended_, [&](const EndedRow& row) { return row.number_ <= call.endsSeen_; });
     for (const auto& [name, run] : running_)
-        reply.running_.push_back({ name, 0 });
+        reply.running_.push_back({ name, percentOf(run) });
     reply.ended_ = ended_;
     return reply;
 }
 
+void LeasedTarget::setSpeed(double speed, Time now)
+{
+    advance(now);
+    speed_ = speed;
+}
+
 void LeasedTarget::restart(Time now)
 {
     auto lost = std::exchange(running_, {});
     for (const auto& [name, run] : lost)
         hooks_.ended_(name, RunEnd::Lost);
     bornAt_ = now;
+    advancedAt_ = now;
     ++bornCount_;
     sequence_ = 0;
     fencingToken_ = 0;
--- a/StandIns/LeasedTarget.h
+++ b/StandIns/LeasedTarget.h
@@ -14,9 +14,13 @@
     struct Running {
         RunName name_;
         Wire::Resources need_;
-        Time endsAt_;
+        /// How long it takes at full speed.
+        Duration work_ {};
         bool fails_ { false };
         bool isLate_ { false };
+        /// Never ends by itself.
+        bool hangs_ { false };
+        Duration left_ { work_ };
     };
 
     struct Hooks {
@@ -42,6 +46,10 @@
     void restart(Time now);
     /// Fails all it runs, or nothing more.
     void setFailing(bool isFailing) { isFailing_ = isFailing; }
+    /// What begins from now on never ends by itself.
+    void setHanging(bool isHanging) { isHanging_ = isHanging; }
+    /// How much work is done in a second of time, from now on.
+    void setSpeed(double speed, Time now);
     void setDraining() { isDraining_ = true; }
     bool isDraining() const { return isDraining_; }
 
@@ -65,6 +73,9 @@
     std::uint64_t sequence_ { 0 };
     bool isDraining_ { false };
     bool isFailing_ { false };
+    bool isHanging_ { false };
+    double speed_ { 1 };
+    Time advancedAt_;
     bool wasOverfilled_ { false };
     std::uint64_t fencingToken_ { 0 };
     std::int64_t leaseUntil_ { 0 };
--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -65,7 +65,7 @@
           { [this](const RunName& name) { record("began", name, "-"); }, [this](const RunName& name, Wire::RunEnd end) { record("ended", name, howOf(end)); },
               [this](const RunName& name) {
                   const std::string& payload = payloads_[name.task_];
-                  return LeasedTarget::Running { name, { numberIn(payload, "cpu", 1000), 1, 0 }, Time(std::chrono::milliseconds(numberIn(payload, "work_ms", 50))) };
+                  return LeasedTarget::Running { name, { numberIn(payload, "cpu", 1000), 1, 0 }, std::chrono::milliseconds(numberIn(payload, "work_ms", 50)) };
               } })
     , record_(settings_.recordFile_, std::ios::app)
     , timer_(context)
--- /dev/null
+++ b/UnitTests/Runs/KnowingQueue.cpp
@@ -0,0 +1,177 @@
+#include "UnitTests/Runs/RunLoad.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+
+namespace Lagoonpick {
+
+namespace {
+
+/// Steps by which a run's end is found while the speed of its target may change.
+constexpr Duration step = std::chrono::milliseconds(10);
+constexpr Duration never = Duration::max();
+
+enum class Order {
+    EarliestDue,
+    LeastWork,
+};
+
+Wire::Resources without(const Wire::Resources& used, const Wire::Resources& need)
+{
+    return { used.milliCores_ - need.milliCores_, used.memoryMegabytes_ - need.memoryMegabytes_, used.accelerators_ - need.accelerators_ };
+}
+
+/// One queue for all targets, in the order given.
+class KnowingQueue {
+public:
+    KnowingQueue(const LoadPlan& plan, Order order)
+        : plan_(plan)
+        , order_(order)
+        , used_(plan.targets_.size())
+        , outcome_(plan)
+    {
+    }
+
+    LoadOutcome play()
+    {
+        std::size_t next = 0;
+        while (next < plan_.jobs_.size() || !ends_.empty()) {
+            bool isArrival = next < plan_.jobs_.size() && (ends_.empty() || plan_.jobs_[next].at_ <= ends_.top().time_);
+            Duration now = isArrival ? plan_.jobs_[next].at_ : ends_.top().time_;
+            if (isArrival)
+                arrive(plan_.jobs_[next++]);
+            else
+                finish(now);
+            startWhatFits(now);
+        }
+        return outcome_;
+    }
+
+private:
+    struct Waiting {
+        const PlannedJob* job_;
+        std::size_t nextTask_ { 0 };
+        std::size_t openTasks_ { 0 };
+    };
+
+    struct End {
+        Duration time_;
+        std::size_t target_;
+        const PlannedJob* job_;
+        bool operator>(const End& other) const { return time_ > other.time_; }
+    };
+
+    void arrive(const PlannedJob& job)
+    {
+        // It knows which jobs are worth nothing.
+        if (job.counts())
+            jobs_[&job] = { &job, 0, job.work_.size() };
+    }
+
+    void finish(Duration now)
+    {
+        End end = ends_.top();
+        ends_.pop();
+        used_[end.target_] = without(used_[end.target_], plan_.need_);
+        Waiting& row = jobs_[end.job_];
+        if (--row.openTasks_)
+            return;
+        outcome_.recordDone(*end.job_, now - end.job_->at_);
+        jobs_.erase(end.job_);
+    }
+
+    /// When work that begins now on a target would end there.
+    Duration endOn(std::size_t target, Duration work, Duration now) const
+    {
+        double left = static_cast<double>(work.count());
+        for (Duration time = now; time < now + std::chrono::seconds(10); time += step) {
+            double speed = plan_.speedAt(target, time);
+            if (!speed)
+                return never;
+            double done = speed * static_cast<double>(step.count());
+            if (left <= done)
+                return time + Duration(static_cast<Duration::rep>(left / speed));
+            left -= done;
+        }
+        return never;
+    }
+
+    Duration sortKey(const Waiting& row) const
+    {
+        if (order_ == Order::EarliestDue)
+            return row.job_->at_ + row.job_->objective_;
+        Duration sum {};
+        for (std::size_t task = row.nextTask_; task < row.job_->work_.size(); ++task)
+            sum += row.job_->work_[task];
+        return sum;
+    }
+
+    void startWhatFits(Duration now)
+    {
+        std::vector<const PlannedJob*> order;
+        for (const auto& [job, row] : jobs_) {
+            if (row.nextTask_ < job->work_.size())
+                order.push_back(job);
+        }
+        std::sort(order.begin(), order.end(), [this](const auto* left, const auto* right) { return std::pair(sortKey(jobs_[left]), left) < std::pair(sortKey(jobs_[right]), right); });
+        for (const auto* job : order) {
+            if (!startTasks(jobs_[job], now))
+                return;
+        }
+    }
+
+    /// Starts what it can of a job, or drops the job if it can't be in time any more; false if no target has room.
+    bool startTasks(Waiting& row, Duration now)
+    {
+        while (row.nextTask_ < row.job_->work_.size()) {
+            std::size_t best = 0;
+            Duration earliest = never;
+            bool hasSpace = false;
+            for (std::size_t target = 0; target < plan_.targets_.size(); ++target) {
+                if (!hasRoom(plan_.targets_[target].capacity_, used_[target], plan_.need_))
+                    continue;
+                hasSpace = hasSpace || plan_.speedAt(target, now) > 0;
+                Duration end = endOn(target, row.job_->work_[row.nextTask_], now);
+                if (end < earliest) {
+                    earliest = end;
+                    best = target;
+                }
+            }
+            if (!hasSpace)
+                return false;
+            if (earliest > row.job_->at_ + row.job_->objective_) {
+                drop(row);
+                return true;
+            }
+            ++row.nextTask_;
+            used_[best] = used_[best] + plan_.need_;
+            ends_.push({ earliest, best, row.job_ });
+        }
+        return true;
+    }
+
+    void drop(Waiting& row)
+    {
+        // What runs of it goes on and ends unheeded.
+        row.nextTask_ = row.job_->work_.size();
+    }
+
+    const LoadPlan& plan_;
+    Order order_;
+    std::vector<Wire::Resources> used_;
+    std::map<const PlannedJob*, Waiting> jobs_;
+    std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
+    LoadOutcome outcome_;
+};
+
+} // namespace
+
+LoadOutcome playKnowing(const LoadPlan& plan)
+{
+    LoadOutcome byDue = KnowingQueue(plan, Order::EarliestDue).play();
+    LoadOutcome byWork = KnowingQueue(plan, Order::LeastWork).play();
+    return byDue.worth() > byWork.worth() ? byDue : byWork;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -0,0 +1,67 @@
+#include "UnitTests/Runs/RunLoad.h"
+#include "UnitTests/Runs/RunWorld.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+namespace Lagoonpick {
+
+namespace {
+
+constexpr Duration from = std::chrono::seconds(3);
+constexpr Duration until = std::chrono::seconds(8);
+/// The shares of an all-knowing queue's worth that are to be reached.
+constexpr double boundBelowCapacity = 0.90;
+constexpr double boundOverCapacity = 0.85;
+
+struct Row {
+    RunLoad load_;
+    double bound_;
+};
+
+std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+bool mustPrint()
+{
+    return std::getenv("LOAD_REPLAY_PRINT") != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("Under each hard load the jobs' worth is close to an all-knowing queue's")
+{
+    const LoadPhase slowTargets { Disturbance::SlowTargets, from, until, 1.0 / 6, 6.5, {} };
+    const LoadPhase burst { Disturbance::Burst, from, until, 0, 1.3, {} };
+    auto row = GENERATE_COPY(values<Row>({
+        { { "calm", 0.8, {} }, boundBelowCapacity },
+        { { "burst of all kinds", 0.85, { burst } }, boundOverCapacity },
+        { { "burst of the longest kind", 0.8, { { Disturbance::Burst, from, until, 0, 1.8, 2 } } }, boundOverCapacity },
+        { { "slow targets", 0.7, { slowTargets } }, boundBelowCapacity },
+        { { "failing targets", 0.7, { { Disturbance::FailingTargets, from, until, 0.1, 1, {} } } }, boundBelowCapacity },
+        { { "hanging targets", 0.7, { { Disturbance::HangingTargets, from, until, 0.1, 1, {} } } }, boundBelowCapacity },
+        { { "a lost rack", 0.6, { { Disturbance::LostTargets, from, until, 0.25, 1, {} } } }, boundBelowCapacity },
+        { { "impossible jobs", 0.8, { { Disturbance::ImpossibleJobs, from, until, 0.05, 1, {} } } }, boundBelowCapacity },
+        { { "callers leave early", 0.8, { { Disturbance::LeavingCallers, from, until, 0.4, 1, {} } } }, boundBelowCapacity },
+        { { "burst, slow targets, callers leave", 0.85, { burst, slowTargets, { Disturbance::LeavingCallers, from, until, 0.35, 1, {} } } }, boundOverCapacity },
+    }));
+    const std::uint64_t first = numberFrom("LOAD_REPLAY_FIRST_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + numberFrom("LOAD_REPLAY_SEEDS", 2); ++seed) {
+        LoadPlan plan = planLoad(row.load_, seed);
+        LoadOutcome best = playKnowing(plan);
+        RunWorld world(plan, seed);
+        LoadOutcome outcome = world.play();
+        double messages = static_cast<double>(world.taskMessages()) / static_cast<double>(world.tasksStarted());
+        if (mustPrint())
+            std::cout << row.load_.name_ << ", seed " << seed << ": worth " << outcome.worth() << " of " << best.worth() << "; in time " << outcome.inTime(0) << " " << outcome.inTime(1) << " " << outcome.inTime(2) << " of " << best.inTime(0) << " " << best.inTime(1) << " " << best.inTime(2) << "; late " << outcome.late(0) << " " << outcome.late(1) << " " << outcome.late(2) << "; rejected " << outcome.rejected(0) << " " << outcome.rejected(1) << " " << outcome.rejected(2) << "; messages a task " << messages << "\n";
+        INFO(row.load_.name_ << ", seed " << seed << ": worth " << outcome.worth() << " of " << best.worth());
+        REQUIRE(world.breaks().empty());
+        CHECK(outcome.worth() >= row.bound_ * best.worth());
+    }
+}
+
+} // namespace Lagoonpick
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -469,10 +469,10 @@
     for (const auto& job : row.failedJobs_)
         monitor.recordFailure(job);
     CHECK(monitor.isSuspect() == row.isSuspect_);
-    monitor.recordDone(milliseconds(10), milliseconds(10));
+    monitor.recordDone(milliseconds(10), milliseconds(10), Time(milliseconds(1)));
     CHECK(monitor.isSuspect() == row.isSuspect_);
     for (int i = 0; i < 10; ++i)
-        monitor.recordDone(milliseconds(10), milliseconds(10));
+        monitor.recordDone(milliseconds(10), milliseconds(10), Time(milliseconds(1)));
     CHECK_FALSE(monitor.isSuspect());
 }
 
--- /dev/null
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -0,0 +1,208 @@
+#include "UnitTests/Runs/RunLoad.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace Lagoonpick {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t targetCount = 12;
+constexpr std::size_t targetsInRack = 3;
+constexpr Duration span = std::chrono::seconds(14);
+constexpr double slackFactor = 1.6;
+constexpr Duration allowance = milliseconds(60);
+constexpr Duration patience = milliseconds(1500);
+/// The worth of a job that is done, but late.
+constexpr double lateWorth = 0.2;
+/// How much a task's time differs from its job's, a job's from its kind's, and a caller's estimate from its job's: the
+/// standard deviation of the logarithm.
+constexpr double taskSpread = 0.15;
+constexpr double jobSpread = 0.3;
+constexpr double estimateSpread = 0.4;
+
+Duration scale(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+bool isDuring(const LoadPhase& phase, Duration time)
+{
+    return phase.from_ <= time && time < phase.until_;
+}
+
+bool hitsTargets(Disturbance disturbance)
+{
+    return disturbance == Disturbance::SlowTargets || disturbance == Disturbance::FailingTargets || disturbance == Disturbance::HangingTargets || disturbance == Disturbance::LostTargets;
+}
+
+/// Draws the jobs of one kind.
+class JobSource {
+public:
+    JobSource(const LoadPlan& plan, std::size_t kind, double perSecond, std::mt19937_64& random)
+        : plan_(plan)
+        , kind_(kind)
+        , perSecond_(perSecond)
+        , random_(random)
+    {
+    }
+
+    void draw(std::vector<PlannedJob>& jobs)
+    {
+        Duration time {};
+        for (std::size_t number = 0;; ++number) {
+            double seconds = std::exponential_distribution<double>(perSecond_ * factorAt(time))(random_);
+            time += Duration(static_cast<Duration::rep>(seconds * std::micro::den));
+            if (time >= span)
+                return;
+            jobs.push_back(job(number, time));
+        }
+    }
+
+private:
+    double factorAt(Duration time) const
+    {
+        double factor = 1;
+        for (const auto& phase : plan_.load_.phases_) {
+            if (phase.disturbance_ == Disturbance::Burst && isDuring(phase, time) && phase.kind_.value_or(kind_) == kind_)
+                factor *= phase.factor_;
+        }
+        return factor;
+    }
+
+    bool isHit(Disturbance disturbance, Duration time)
+    {
+        for (const auto& phase : plan_.load_.phases_) {
+            bool applies = phase.disturbance_ == disturbance && isDuring(phase, time) && phase.kind_.value_or(kind_) == kind_;
+            if (applies && std::uniform_real_distribution<double>(0, 1)(random_) < phase.share_)
+                return true;
+        }
+        return false;
+    }
+
+    double spread(double deviation) { return std::exp(std::normal_distribution<double>(0, deviation)(random_)); }
+
+    PlannedJob job(std::size_t number, Duration time)
+    {
+        const JobKind& kind = plan_.kinds_[kind_];
+        PlannedJob job { .at_ = time, .id_ = kind.name_ + "-" + std::to_string(number), .kind_ = kind_, .work_ = {}, .patience_ = patience };
+        Duration usual = scale(kind.work_, spread(jobSpread));
+        for (std::uint32_t task = 0; task < kind.taskCount_; ++task)
+            job.work_.push_back(scale(usual, spread(taskSpread)));
+        job.estimate_ = scale(usual, spread(estimateSpread));
+        // An answer that comes when nobody waits any more is none.
+        job.objective_ = std::min<Duration>(scale(*std::max_element(job.work_.begin(), job.work_.end()), slackFactor) + allowance, patience);
+        job.isImpossible_ = isHit(Disturbance::ImpossibleJobs, time);
+        job.leavesEarly_ = isHit(Disturbance::LeavingCallers, time);
+        if (job.leavesEarly_)
+            job.patience_ = job.objective_ / 2;
+        return job;
+    }
+
+    const LoadPlan& plan_;
+    std::size_t kind_;
+    double perSecond_;
+    std::mt19937_64& random_;
+};
+
+std::vector<PlannedTarget> drawTargets(const RunLoad& load, std::mt19937_64& random)
+{
+    std::vector<PlannedTarget> targets;
+    for (std::size_t i = 0; i < targetCount; ++i) {
+        // Unequal in size and speed, as bought over the years.
+        std::uint32_t milliCores = 12'000 + 4'000 * static_cast<std::uint32_t>(i % 3);
+        targets.push_back({ { milliCores, 32'000, 0 }, 0.9 + 0.1 * static_cast<double>(i % 4), {} });
+    }
+    for (std::size_t phase = 0; phase < load.phases_.size(); ++phase) {
+        const LoadPhase& row = load.phases_[phase];
+        if (!hitsTargets(row.disturbance_))
+            continue;
+        std::size_t count = static_cast<std::size_t>(std::lround(row.share_ * targetCount));
+        std::size_t first = std::uniform_int_distribution<std::size_t>(0, targetCount / targetsInRack - 1)(random) * targetsInRack;
+        for (std::size_t i = 0; i < count; ++i)
+            targets[(first + i) % targetCount].phases_.push_back(phase);
+    }
+    return targets;
+}
+
+} // namespace
+
+double LoadPlan::speedAt(std::size_t target, Duration time) const
+{
+    double speed = targets_[target].speed_;
+    for (std::size_t index : targets_[target].phases_) {
+        const LoadPhase& phase = load_.phases_[index];
+        if (!isDuring(phase, time))
+            continue;
+        speed = phase.disturbance_ == Disturbance::SlowTargets ? speed / phase.factor_ : 0;
+    }
+    return speed;
+}
+
+LoadPlan planLoad(const RunLoad& load, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    LoadPlan plan { .load_ = load, .kinds_ = {}, .targets_ = {}, .jobs_ = {}, .need_ = { 1'600, 500, 0 }, .span_ = span };
+    plan.kinds_ = { { "short", 8, milliseconds(60), 5 }, { "middle", 2, milliseconds(200), 15 }, { "long", 4, milliseconds(900), 1 } };
+    plan.targets_ = drawTargets(load, random);
+    double places = 0;
+    for (const auto& target : plan.targets_)
+        places += target.speed_ * static_cast<double>(target.capacity_.milliCores_ / plan.need_.milliCores_);
+    double secondsOfWork = 0;
+    for (const auto& kind : plan.kinds_)
+        secondsOfWork += kind.share_ * kind.taskCount_ * std::chrono::duration<double>(kind.work_).count() * std::exp(jobSpread * jobSpread / 2);
+    for (std::size_t kind = 0; kind < plan.kinds_.size(); ++kind) {
+        double perSecond = load.level_ * places / secondsOfWork * plan.kinds_[kind].share_;
+        JobSource(plan, kind, perSecond, random).draw(plan.jobs_);
+    }
+    std::sort(plan.jobs_.begin(), plan.jobs_.end(), [](const auto& left, const auto& right) { return left.at_ < right.at_; });
+    return plan;
+}
+
+LoadOutcome::LoadOutcome(const LoadPlan& plan)
+    : kinds_(plan.kinds_.size())
+{
+    for (const auto& job : plan.jobs_)
+        kinds_[job.kind_].sent_ += job.counts() ? 1 : 0;
+}
+
+void LoadOutcome::recordDone(const PlannedJob& job, Duration after)
+{
+    if (!job.counts())
+        return;
+    Count& count = kinds_[job.kind_];
+    (after <= job.objective_ ? count.inTime_ : count.late_) += 1;
+}
+
+void LoadOutcome::recordRejected(const PlannedJob& job)
+{
+    kinds_[job.kind_].rejected_ += job.counts() ? 1 : 0;
+}
+
+double LoadOutcome::inTime(std::size_t kind) const
+{
+    return kinds_[kind].sent_ ? kinds_[kind].inTime_ / kinds_[kind].sent_ : 1;
+}
+
+double LoadOutcome::late(std::size_t kind) const
+{
+    return kinds_[kind].sent_ ? kinds_[kind].late_ / kinds_[kind].sent_ : 0;
+}
+
+double LoadOutcome::rejected(std::size_t kind) const
+{
+    return kinds_[kind].sent_ ? kinds_[kind].rejected_ / kinds_[kind].sent_ : 0;
+}
+
+double LoadOutcome::worth() const
+{
+    double sum = 0;
+    for (const auto& kind : kinds_)
+        sum += kind.sent_ ? (kind.inTime_ + lateWorth * kind.late_) / kind.sent_ : 1;
+    return sum / static_cast<double>(kinds_.size());
+}
+
+} // namespace Lagoonpick
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t entryCount = 3;
 constexpr std::size_t agentCount = 4;
+constexpr std::size_t plannedEntryCount = 4;
 constexpr Duration tickInterval = milliseconds(20);
 constexpr Duration faultInterval = milliseconds(100);
 constexpr Duration resendInterval = milliseconds(1300);
@@ -74,28 +75,38 @@
 };
 
 RunWorld::RunWorld(RunFaults faults, std::uint64_t seed)
+    : RunWorld(std::move(faults), seed, nullptr)
+{
+}
+
+RunWorld::RunWorld(const LoadPlan& plan, std::uint64_t seed)
+    : RunWorld({}, seed, &plan)
+{
+}
+
+RunWorld::RunWorld(RunFaults faults, std::uint64_t seed, const LoadPlan* plan)
     : faults_(std::move(faults))
+    , plan_(plan)
     , random_(seed)
     , now_(milliseconds(1'000'000))
 {
-    for (std::size_t i = 0; i < entryCount; ++i) {
+    for (std::size_t i = 0; i < (plan_ ? plannedEntryCount : entryCount); ++i) {
         entries_.push_back(std::make_unique<Entry>());
         startEntry(*entries_.back());
     }
-    for (std::size_t i = 0; i < agentCount; ++i) {
+    for (std::size_t i = 0; i < (plan_ ? plan_->targets_.size() : agentCount); ++i) {
         auto agent = std::make_unique<Agent>();
         agent->index_ = i;
         StandIns::LeasedTarget::Hooks hooks {
             [this, i](const RunName& name) { began(i, name); },
             [this, i](const RunName& name, RunEnd end) { ended(i, name, end); },
-            [this](const RunName& name) {
-                Duration length = between(milliseconds(20), milliseconds(name.task_.back() % 2 ? 200 : 900));
-                return StandIns::LeasedTarget::Running { name, need, Time(length), chance(0.01) };
-            }
+            [this](const RunName& name) { return describe(name); }
         };
         double clockRate = 1 - 0.02 * std::uniform_real_distribution<double>(0, 1)(random_);
-        agent->target_ = std::make_unique<StandIns::LeasedTarget>("target-" + std::to_string(i), capacity, clockRate, hooks);
+        agent->target_ = std::make_unique<StandIns::LeasedTarget>("target-" + std::to_string(i), plan_ ? plan_->targets_[i].capacity_ : capacity, clockRate, hooks);
         agent->target_->restart(now_);
+        if (plan_)
+            agent->target_->setSpeed(plan_->targets_[i].speed_, now_);
         agents_.push_back(std::move(agent));
         startAgent(*agents_.back());
     }
@@ -103,6 +114,17 @@
 
 RunWorld::~RunWorld() = default;
 
+StandIns::LeasedTarget::Running RunWorld::describe(const RunName& name)
+{
+    if (!plan_) {
+        Duration length = between(milliseconds(20), milliseconds(name.task_.back() % 2 ? 200 : 900));
+        return { name, need, length, chance(0.01) };
+    }
+    const PlannedJob& job = *planned_.at(name.task_.substr(0, name.task_.find('.')));
+    std::size_t task = std::stoul(name.task_.substr(name.task_.rfind('.') + 1));
+    return { name, plan_->need_, job.work_[task], job.isImpossible_ };
+}
+
 void RunWorld::at(Time time, std::function<void()> action)
 {
     events_.push({ time, ++lastEvent_, std::make_shared<std::function<void()>>(std::move(action)) });
@@ -140,7 +162,13 @@
     settings.incarnation_ = Incarnation(++lastIncarnation_);
     settings.linkAddress_ = "10.0.0.1:1";
     entry.core_ = std::make_unique<JobCore>(settings, random_());
-    entry.core_->setQueues(QueueTable(1, { { .name_ = "queue", .host_ = "host", .prefix_ = "/queue/", .service_ = "service", .maxAttempts_ = 2, .slackFactor_ = 1.6, .allowance_ = milliseconds(60) } }), "text", now_);
+    std::vector<QueueRule> rules { { .name_ = "queue", .host_ = "host", .prefix_ = "/queue/", .service_ = "service", .maxAttempts_ = 2, .slackFactor_ = 1.6, .allowance_ = milliseconds(60) } };
+    for (const auto& kind : plan_ ? plan_->kinds_ : std::vector<JobKind>()) {
+        rules.push_back(rules.front());
+        rules.back().name_ = kind.name_;
+        rules.back().prefix_ = "/" + kind.name_ + "/";
+    }
+    entry.core_->setQueues(QueueTable(1, rules), "text", now_);
     entry.isUp_ = true;
     entry.lastRan_ = now_;
     std::uint64_t life = ++entry.life_;
@@ -248,6 +276,7 @@
 {
     if (!link || !link->isOpen_)
         return;
+    taskMessages_ += std::holds_alternative<Wire::StartRun>(message) || std::holds_alternative<Wire::RunEnded>(message) || std::holds_alternative<Wire::StopRun>(message);
     if (link->isCut_) {
         link->held_.emplace_back(toAgent, std::move(message));
         return;
@@ -440,6 +469,7 @@
     trace("target-" + std::to_string(target), { LogLine("began").text("task", name.task_).number("number", name.number_) });
     JobRecord& record = jobs_[job];
     record.hasStarted_ = true;
+    ++tasksStarted_;
     if (!record.isOpen_ && record.wasOnlyRejected_)
         report("start of a job that was rejected: " + name.task_);
 }
@@ -456,7 +486,7 @@
 
 void RunWorld::sendJob(const std::string& id, const JobRequest& request, int attempt)
 {
-    std::size_t index = std::uniform_int_distribution<std::size_t>(0, entryCount - 1)(random_);
+    std::size_t index = std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
     Entry& entry = *entries_[index];
     std::uint64_t caller = ++lastCaller_;
     callers_[caller] = { id, request, attempt, index, entry.life_ };
@@ -491,6 +521,8 @@
     record.wasOnlyRejected_ = record.wasOnlyRejected_ && isRejected;
     if (isRejected) {
         record.isOpen_ = false;
+        if (auto planned = planned_.find(attempt.id_); planned != planned_.end())
+            outcome_->recordRejected(*planned->second);
         if (record.wasOnlyRejected_ && record.hasStarted_)
             report("rejected although it had started: " + attempt.id_);
         return;
@@ -498,6 +530,8 @@
     if (answer && answer->verdict_ == JobVerdict::Done) {
         ++done_;
         record.isOpen_ = false;
+        if (auto planned = planned_.find(attempt.id_); planned != planned_.end())
+            outcome_->recordDone(*planned->second, now_ - planBeganAt_ - planned->second->at_);
         if (record.doneTasks_.size() != record.taskCount_)
             report("answered as done before all of its tasks were: " + attempt.id_);
         return;
@@ -597,7 +631,101 @@
         at(now_ + between(Duration(), Duration(static_cast<Duration::rep>(52'000 / faults_.load_))), *jobs);
     };
     at(now_ + std::chrono::seconds(2), *jobs);
-    while (!events_.empty() && events_.top().time_ < end_) {
+    runUntil(end_);
+}
+
+void RunWorld::sendPlanned(const PlannedJob& job)
+{
+    const std::string& kind = plan_->kinds_[job.kind_].name_;
+    auto tasks = static_cast<std::uint32_t>(job.work_.size());
+    JobRequest request { .id_ = job.id_, .host_ = "host", .path_ = "/" + kind + "/", .payload_ = "payload", .taskCount_ = tasks, .need_ = plan_->need_, .estimate_ = job.estimate_, .patience_ = milliseconds(1500) };
+    jobs_[job.id_].taskCount_ = tasks;
+    planned_[job.id_] = &job;
+    ++sent_;
+    sendJob(job.id_, request, maxAttempts);
+    if (!job.leavesEarly_)
+        return;
+    at(now_ + job.patience_, [this, id = job.id_] {
+        for (const auto& [caller, attempt] : std::map(callers_)) {
+            if (attempt.id_ != id)
+                continue;
+            Entry& entry = *entries_[attempt.entry_];
+            intoEntry(entry, attempt.entryLife_, [this, &entry, caller = caller] { entry.core_->abandon(CallerId(caller), now_); });
+            finishAttempt(caller, std::nullopt);
+        }
+    });
+}
+
+void RunWorld::losePower(Agent& agent)
+{
+    agent.isUp_ = false;
+    agent.inbox_.clear();
+    agent.target_->restart(now_);
+    // The other ends hear nothing of it.
+    for (auto& [id, link] : links_) {
+        if (link->agent_ == &agent)
+            link->isCut_ = true;
+    }
+}
+
+/// Sets a target as the phases that are in force have it.
+void RunWorld::updateTarget(std::size_t index)
+{
+    Agent& agent = *agents_[index];
+    StandIns::LeasedTarget& target = *agent.target_;
+    Duration time = now_ - planBeganAt_;
+    double speed = plan_->targets_[index].speed_;
+    bool isFailing = false;
+    bool isHanging = false;
+    for (std::size_t number : plan_->targets_[index].phases_) {
+        const LoadPhase& phase = plan_->load_.phases_[number];
+        if (time < phase.from_ || time >= phase.until_)
+            continue;
+        isFailing = isFailing || phase.disturbance_ == Disturbance::FailingTargets;
+        isHanging = isHanging || phase.disturbance_ == Disturbance::HangingTargets;
+        speed /= phase.disturbance_ == Disturbance::SlowTargets ? phase.factor_ : 1;
+    }
+    target.setSpeed(speed, now_);
+    target.setFailing(isFailing);
+    target.setHanging(isHanging);
+}
+
+void RunWorld::apply(const LoadPhase& phase, std::size_t index, bool isOver)
+{
+    for (std::size_t target = 0; target < agents_.size(); ++target) {
+        const auto& hit = plan_->targets_[target].phases_;
+        if (std::find(hit.begin(), hit.end(), index) == hit.end())
+            continue;
+        updateTarget(target);
+        if (phase.disturbance_ != Disturbance::LostTargets)
+            continue;
+        if (isOver)
+            startAgent(*agents_[target]);
+        else
+            losePower(*agents_[target]);
+    }
+}
+
+LoadOutcome RunWorld::play()
+{
+    // Time to find each other.
+    constexpr Duration start = std::chrono::seconds(3);
+    planBeganAt_ = now_ + start;
+    outcome_ = LoadOutcome(*plan_);
+    for (std::size_t index = 0; index < plan_->load_.phases_.size(); ++index) {
+        const LoadPhase& phase = plan_->load_.phases_[index];
+        at(planBeganAt_ + phase.from_, [this, &phase, index] { apply(phase, index, false); });
+        at(planBeganAt_ + phase.until_, [this, &phase, index] { apply(phase, index, true); });
+    }
+    for (const auto& job : plan_->jobs_)
+        at(planBeganAt_ + job.at_, [this, &job] { sendPlanned(job); });
+    runUntil(planBeganAt_ + plan_->span_ + std::chrono::seconds(3));
+    return *outcome_;
+}
+
+void RunWorld::runUntil(Time end)
+{
+    while (!events_.empty() && events_.top().time_ < end) {
         Event event = events_.top();
         events_.pop();
         now_ = event.time_;
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -3,6 +3,7 @@
 #include "Lagoonpick/Job/JobCore.h"
 #include "Lagoonpick/Run/RunCore.h"
 #include "StandIns/LeasedTarget.h"
+#include "UnitTests/Runs/RunLoad.h"
 
 #include <memory>
 #include <queue>
@@ -37,14 +38,22 @@
 class RunWorld {
 public:
     RunWorld(RunFaults faults, std::uint64_t seed);
+    /// A world for the jobs, targets and disturbances of a plan, which must outlive it.
+    RunWorld(const LoadPlan& plan, std::uint64_t seed);
     ~RunWorld();
 
     void run(Duration span);
 
+    /// Plays the whole plan that this world was made for.
+    LoadOutcome play();
+
     /// What broke, one line each; empty if nothing did.
     const std::vector<std::string>& breaks() const { return breaks_; }
     std::uint64_t jobsDone() const { return done_; }
     std::uint64_t jobsSent() const { return sent_; }
+    std::uint64_t tasksStarted() const { return tasksStarted_; }
+    /// Messages between entries and agents about single tasks.
+    std::uint64_t taskMessages() const { return taskMessages_; }
 
 private:
     struct Link;
@@ -56,7 +65,15 @@
     bool chance(double share);
     Duration between(Duration least, Duration most);
 
+    RunWorld(RunFaults faults, std::uint64_t seed, const LoadPlan* plan);
+
     void sendJob(const std::string& id, const JobRequest& request, int attempt);
+    void sendPlanned(const PlannedJob& job);
+    void apply(const LoadPhase& phase, std::size_t index, bool isOver);
+    void updateTarget(std::size_t target);
+    void losePower(Agent& agent);
+    StandIns::LeasedTarget::Running describe(const RunName& name);
+    void runUntil(Time end);
     void finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer);
     void misbehave();
     /// Hands an input to a process as its host would: once it runs, after it has noticed that it stood still.
@@ -82,6 +99,11 @@
     void trace(const std::string& source, const std::vector<LogLine>& lines) const;
 
     RunFaults faults_;
+    /// The load that is played; none for a history of faults.
+    const LoadPlan* plan_;
+    Time planBeganAt_;
+    std::map<std::string, const PlannedJob*> planned_;
+    std::optional<LoadOutcome> outcome_;
     std::mt19937_64 random_;
     Time now_;
     Time end_;
@@ -114,6 +136,8 @@
     std::vector<std::string> breaks_;
     std::uint64_t done_ { 0 };
     std::uint64_t sent_ { 0 };
+    std::uint64_t tasksStarted_ { 0 };
+    std::uint64_t taskMessages_ { 0 };
 };
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -83,7 +83,7 @@
         Wire::StopRun { 1 },
         Wire::QueryRun { 2 },
         Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
-        Wire::RunStalled { 4 },
+        Wire::RunStalled { 4, 700'000 },
         Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 4, 5, 6 },
     };
     REQUIRE(messages.size() == std::variant_size_v<Wire::RunMessage>);
