Queues of a service share rejections

Change: RejectionShares: a queue whose share of rejections lies below the highest gives up the difference.

--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -96,7 +96,11 @@
     job.due_ = now + objective - settings_.overhead_;
     job.deadline_ = now + request.patience_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
-    if (auto refusal = admit(job, now); refusal != JobRefusal::None)
+    auto refusal = admit(job, now);
+    if (refusal == JobRefusal::None && mustYield(job, now))
+        refusal = JobRefusal::Overloaded;
+    rejectionShares_.record(job.queue_.service_, job.queue_.name_, refusal == JobRefusal::Overloaded, now);
+    if (refusal != JobRefusal::None)
         return reject(caller, request, refusal, now);
     ++counters_.accepted_;
     JobKey key = ++lastJob_;
--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Job/JobSettings.h"
 #include "Lagoonpick/Job/JobTable.h"
 #include "Lagoonpick/Job/QueueTable.h"
+#include "Lagoonpick/Job/RejectionShares.h"
 #include "Lagoonpick/Job/WorkModel.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
@@ -107,6 +108,7 @@
     /// True if targets that fail what they run are left out.
     bool mustSpareSuspects() const;
     JobRefusal admit(HeldJob& job, Time now);
+    bool mustYield(const HeldJob& job, Time now);
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// The agents that a task may be placed on, a random few of them where there are many.
     std::vector<Incarnation> sampleAgents(const HeldJob& job, const JobTask& task, Time now);
@@ -138,6 +140,7 @@
     std::string configurationText_;
     Time configurationConfirmedAt_;
     WorkModel workModel_;
+    RejectionShares rejectionShares_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
     std::map<JobKey, HeldJob> jobs_;
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -87,6 +87,13 @@
     return JobRefusal::None;
 }
 
+/// While other queues of the service must reject jobs, this one gives up as much.
+bool JobCore::mustYield(const HeldJob& job, Time now)
+{
+    double shortfall = rejectionShares_.shortfall(job.queue_.service_, job.queue_.name_, now);
+    return std::uniform_real_distribution<double>(0, 1)(random_) < shortfall;
+}
+
 bool JobCore::mustSpareSuspects() const
 {
     std::size_t usable = 0;
