--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -193,7 +193,8 @@
             .need_ = job.request_.need_,
             .workMicroseconds_ = static_cast<std::uint64_t>(work.count()),
             .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()),
-            .dueInMicroseconds_ = (job.due_ - now - run).count() });
+            .dueInMicroseconds_ = (job.due_ - now - run).count(),
+            .patienceMicroseconds_ = static_cast<std::uint64_t>(std::max<Duration>(job.deadline_ - now, Duration()).count()) });
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -138,7 +138,7 @@
     markReportsDue();
     if (runs_.findOfEntry(entry, message.run_))
         return;
-    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_, .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)), .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_) };
+    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_, .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)), .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_), .deadline_ = now + Duration(static_cast<Duration::rep>(message.patienceMicroseconds_)) };
     NotStartedReason reason = NotStartedReason::None;
     if (isClosing_ || target_.heartbeat().isDraining_)
         reason = NotStartedReason::Draining;
--- a/Lagoonpick/Run/RunCoreStalls.cpp
+++ b/Lagoonpick/Run/RunCoreStalls.cpp
@@ -15,6 +15,8 @@
 constexpr double slowTarget = 2;
 /// Below this many times a whole run's time a new start elsewhere gains nothing.
 constexpr double worthMoving = 1.5;
+/// A pace is known to a tenth or so.
+constexpr double leastOfRemaining = 0.8;
 /// The way to the entry and back, and the time that a stop takes.
 constexpr Duration stallReportInterval = std::chrono::milliseconds(100);
 
@@ -42,7 +44,12 @@
             continue;
         bool isStuck = run.progress_.isStuck();
         auto remaining = run.progress_.remaining(now);
-        if (!remaining || !(isStuck || isSlow) || static_cast<double>(remaining->count()) < worthMoving * static_cast<double>(run.work_.count()))
+        if (!remaining)
+            continue;
+        double left = static_cast<double>(remaining->count());
+        bool isMovable = (isStuck || isSlow) && left >= worthMoving * static_cast<double>(run.work_.count());
+        bool isHopeless = left * leastOfRemaining > static_cast<double>((run.deadline_ - now).count());
+        if (!isMovable && !isHopeless)
             continue;
         bool isFirst = run.nextStallReport_ == Time();
         run.nextStallReport_ = now + stallReportInterval;
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -31,6 +31,8 @@
     Time waitUntil_;
     /// When it should have ended.
     Time due_;
+    /// When its caller waits no more.
+    Time deadline_;
     RunPhase phase_ { RunPhase::Queued };
     /// The target has said that it runs.
     bool isConfirmed_ { false };
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -107,6 +107,8 @@
     std::uint64_t waitMicroseconds_ { 0 };
     /// When the task should have ended, from now on; negative if that is past.
     std::int64_t dueInMicroseconds_ { 0 };
+    /// How long its caller still waits for the whole job.
+    std::uint64_t patienceMicroseconds_ { 0 };
     bool operator==(const StartRun&) const = default;
 };
 
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -50,7 +50,7 @@
 void describe(auto& archive, Is<StartRun> auto& value)
 {
     archive(value.run_, value.task_, value.number_, value.payload_, value.need_, value.workMicroseconds_,
-        value.waitMicroseconds_, value.dueInMicroseconds_);
+        value.waitMicroseconds_, value.dueInMicroseconds_, value.patienceMicroseconds_);
 }
 
 void describe(auto& archive, Is<StopRun> auto& value)
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -58,7 +58,7 @@
 
     void startRun(std::uint64_t run, Duration wait = milliseconds(100), std::uint32_t milliCores = 1000, Duration due = milliseconds(100))
     {
-        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = 1000, .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count() }, now_);
+        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = 1000, .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .patienceMicroseconds_ = 10'000'000 }, now_);
         pass({});
     }
 
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -79,7 +79,7 @@
         Wire::Pulse { 3, 4 },
         Wire::ConfigurationCopy { 9, "text" },
         Wire::EntryAddresses { { "10.0.0.1:1", "10.0.0.2:1" } },
-        Wire::StartRun { 1, "job.0.0.1", 2, "payload", { 1, 2, 3 }, 4, 5, -6 },
+        Wire::StartRun { 1, "job.0.0.1", 2, "payload", { 1, 2, 3 }, 4, 5, -6, 7 },
         Wire::StopRun { 1 },
         Wire::QueryRun { 2 },
         Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
