A stopped run tells its target's pace; a task waits for a full target rather than begin on a slow one

Change: a stopped run's projected time counts; full targets are considered if the best one with room would take twice as long as it should; a fifth, not a tenth, of a new sample counts.

--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -111,7 +111,13 @@
     bool mustYield(const HeldJob& job, Time now);
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// The agents that a task may be placed on, a random few of them where there are many.
-    std::vector<Incarnation> sampleAgents(const HeldJob& job, const JobTask& task, Time now);
+    /// A few of the targets that could run a task, by whether they seem to have room.
+    struct Sample {
+        std::vector<Incarnation> free_;
+        std::vector<Incarnation> full_;
+    };
+    Sample sampleAgents(const HeldJob& job, const JobTask& task, Time now);
+    void drawSome(std::vector<Incarnation>& from);
     /// Where a task is best placed, and when it is expected to end there.
     struct Placement {
         Incarnation agent_;
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -17,6 +17,8 @@
 constexpr Duration::rep waitFactor = 2;
 /// How many targets are looked at for a task.
 constexpr std::size_t maxSample = 8;
+/// Where a task would take so many times as long as it should, it may do better to wait for another target.
+constexpr Duration::rep slowFactor = 2;
 /// How much a target's load weighs against its expected finish, so that equal targets share the work.
 constexpr double loadWeight = 0.15;
 /// Entries choose alike from the same reports; a random part keeps them apart.
@@ -106,11 +108,21 @@
     return suspect * 2 <= usable;
 }
 
-std::vector<Incarnation> JobCore::sampleAgents(const HeldJob& job, const JobTask& task, Time now)
+/// Leaves a few of them, picked at random.
+void JobCore::drawSome(std::vector<Incarnation>& from)
+{
+    std::size_t size = std::min(from.size(), maxSample);
+    for (std::size_t i = 0; i < size; ++i) {
+        std::uniform_int_distribution<std::size_t> rest(i, from.size() - 1);
+        std::swap(from[i], from[rest(random_)]);
+    }
+    from.resize(size);
+}
+
+JobCore::Sample JobCore::sampleAgents(const HeldJob& job, const JobTask& task, Time now)
 {
     bool mustSpare = mustSpareSuspects();
-    std::vector<Incarnation> free;
-    std::vector<Incarnation> full;
+    Sample sample;
     for (const auto& [incarnation, agent] : agents_) {
         if (!canRun(job, agent))
             continue;
@@ -118,38 +130,39 @@
             continue;
         TargetLoadView load = agent.load();
         bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
-        (hasSpace ? free : full).push_back(incarnation);
+        (hasSpace ? sample.free_ : sample.full_).push_back(incarnation);
     }
-    auto& sample = free.empty() ? full : free;
-    std::size_t size = std::min(sample.size(), maxSample);
-    for (std::size_t i = 0; i < size; ++i) {
-        std::uniform_int_distribution<std::size_t> rest(i, sample.size() - 1);
-        std::swap(sample[i], sample[rest(random_)]);
-    }
-    sample.resize(size);
-    return std::move(sample);
+    drawSome(sample.free_);
+    drawSome(sample.full_);
+    return sample;
 }
 
-/// Answers the load pattern of many entries that choose by reports which are out of date by then: each looks at a few
-/// targets of its own, so that they don't all take the one that looked best.
+/// Answers two load patterns: many entries that choose by reports which are out of date by then, so each looks at a few
+/// targets of its own; and targets that turned slow, which have room when all others are full.
 JobCore::Placement JobCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
 {
     std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
     Placement best;
     double bestCost = 0;
-    for (Incarnation incarnation : sampleAgents(job, task, now)) {
-        const AgentRow& agent = agents_[incarnation];
-        TargetLoadView load = agent.load();
-        Duration finish = expectOn(load, job.request_.need_, workOn(job, agent)).finish();
-        double cost = static_cast<double>(finish.count());
-        cost += loadWeight * usedShare(load) * static_cast<double>(job.work_.count()) * spread(random_);
-        if (task.avoided_.contains(incarnation))
-            cost += static_cast<double>(job.work_.count()) * 4;
-        if (!best.agent_.isValid() || cost < bestCost) {
-            best = { incarnation, finish };
-            bestCost = cost;
+    auto consider = [&](const std::vector<Incarnation>& sample) {
+        for (Incarnation incarnation : sample) {
+            const AgentRow& agent = agents_[incarnation];
+            TargetLoadView load = agent.load();
+            Duration finish = expectOn(load, job.request_.need_, workOn(job, agent)).finish();
+            double cost = static_cast<double>(finish.count());
+            cost += loadWeight * usedShare(load) * static_cast<double>(job.work_.count()) * spread(random_);
+            if (task.avoided_.contains(incarnation))
+                cost += static_cast<double>(job.work_.count()) * 4;
+            if (!best.agent_.isValid() || cost < bestCost) {
+                best = { incarnation, finish };
+                bestCost = cost;
+            }
         }
-    }
+    };
+    Sample sample = sampleAgents(job, task, now);
+    consider(sample.free_);
+    if (!best.agent_.isValid() || best.finish_ > job.work_ * slowFactor)
+        consider(sample.full_);
     return best;
 }
 
--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -241,6 +241,7 @@
         break;
     case RunEnd::Stopped:
         ++counters_.stopped_;
+        monitor_.recordPace(run.progress_.total().value_or(Duration()), run.work_, now);
         break;
     case RunEnd::Lost:
         ++counters_.lost_;
--- a/Lagoonpick/Run/RunCoreStalls.cpp
+++ b/Lagoonpick/Run/RunCoreStalls.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// What was learnt from runs that ended weighs as much as so many of those that run.
-constexpr double learntWeight = 4;
+constexpr double learntWeight = 2;
 /// A target is the cause if its runs take this many times as long as they should; else the job may be.
 constexpr double slowTarget = 2;
 /// Below this many times a whole run's time a new start elsewhere gains nothing.
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -13,8 +13,8 @@
 constexpr double suspectAbove = 0.38;
 /// Far enough below that single ends don't turn the judgement to and fro.
 constexpr double trustedBelow = 0.15;
-/// The weight of a new sample once many were seen: the last ten or so count.
-constexpr double steadyWeight = 0.1;
+/// The weight of a new sample once many were seen: the last five or so count.
+constexpr double steadyWeight = 0.2;
 /// A target's runs are a mix of short and long ones: it takes many to know their mean.
 constexpr double typicalWeight = 0.02;
 /// Tasks differ in themselves; a single one can't say that a target is more than this many times slower.
@@ -28,6 +28,11 @@
 {
     failureShare_ -= failureWeight * failureShare_;
     noteSuspicion();
+    recordPace(took, work, now);
+}
+
+void TargetMonitor::recordPace(Duration took, Duration work, Time now)
+{
     if (took.count() <= 0 || work.count() <= 0)
         return;
     samples_ += 1;
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -14,6 +14,9 @@
     /// Takes in a run that ended as done. `work` is what it was expected to take on a target of slowness 1.
     void recordDone(Duration took, Duration work, Time now);
 
+    /// Takes in how long a run took, or would have taken if it had not been stopped.
+    void recordPace(Duration took, Duration work, Time now);
+
     /// Takes in a run that the target failed or rejected. Failures of one job count once: the job may be at fault.
     void recordFailure(std::string_view job);
 
--- a/UnitTests/Runs/KnowingQueue.cpp
+++ b/UnitTests/Runs/KnowingQueue.cpp
@@ -140,8 +140,11 @@
             }
             if (!hasSpace)
                 return false;
-            if (earliest > row.job_->at_ + row.job_->objective_) {
-                drop(row);
+            Duration due = row.job_->at_ + row.job_->objective_;
+            if (earliest > due) {
+                // A faster target may have room in time.
+                if (now + quickest(row.job_->work_[row.nextTask_], now) > due)
+                    drop(row);
                 return true;
             }
             ++row.nextTask_;
@@ -151,6 +154,15 @@
         return true;
     }
 
+    /// How long work takes on the fastest target of now.
+    Duration quickest(Duration work, Duration now) const
+    {
+        double speed = 0;
+        for (std::size_t target = 0; target < plan_.targets_.size(); ++target)
+            speed = std::max(speed, plan_.speedAt(target, now));
+        return speed > 0 ? Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) / speed)) : never / 2;
+    }
+
     void drop(Waiting& row)
     {
         // What runs of it goes on and ends unheeded.
