--- a/UnitTests/Runs/JobCoreTest.cpp
+++ b/UnitTests/Runs/JobCoreTest.cpp
@@ -208,6 +208,94 @@
         CHECK(entry.answers_[0].refusal_ == JobRefusal::Overloaded);
 }
 
+TEST_CASE("A run that stalls is moved if a new one elsewhere ends sooner, and its job is given up if nothing can save it")
+{
+    enum class Outcome { Stays, Moves, GivenUp };
+    struct Row {
+        int passedMs_;
+        int remainingMs_;
+        bool isElsewhere_;
+        Outcome outcome_;
+    };
+    // A task takes 100 ms, its caller waits 1.5 s.
+    auto row = GENERATE(values<Row>({
+        { 100, 110, true, Outcome::Stays },
+        { 100, 600, true, Outcome::Moves },
+        { 100, 600, false, Outcome::Stays },
+        { 100, 5000, true, Outcome::Moves },
+        { 100, 5000, false, Outcome::GivenUp },
+        { 1440, 90, true, Outcome::GivenUp },
+    }));
+    EntryAtWork entry(row.isElsewhere_ ? 2 : 1);
+    entry.submit(makeRequest("job"));
+    entry.pass(milliseconds(row.passedMs_));
+    entry.core_.receive(entry.starts_[0].first, Wire::RunStalled { entry.starts_[0].second.run_, static_cast<std::uint64_t>(row.remainingMs_) * 1000 }, entry.now_);
+    entry.collect();
+    INFO(row.passedMs_ << " " << row.remainingMs_ << " " << row.isElsewhere_);
+    CHECK(entry.stops_ == (row.outcome_ == Outcome::Stays ? 0 : 1));
+    CHECK(entry.core_.counters().movedRuns_ == (row.outcome_ == Outcome::Moves ? 1 : 0));
+    // Nothing begins elsewhere before the stop is known to have been carried out.
+    CHECK(entry.starts_.size() == 1);
+    if (row.outcome_ == Outcome::Stays)
+        return;
+    entry.end(0, RunEnd::Stopped);
+    CHECK(entry.starts_.size() == (row.outcome_ == Outcome::Moves ? 2 : 1));
+    CHECK(entry.answers_.size() == (row.outcome_ == Outcome::Moves ? 0 : 1));
+    if (row.outcome_ == Outcome::Moves)
+        CHECK(entry.starts_[1].first != entry.starts_[0].first);
+    else
+        CHECK(entry.answers_[0].verdict_ == JobVerdict::GivenUp);
+}
+
+TEST_CASE("A task is moved twice at most")
+{
+    EntryAtWork entry(4);
+    entry.submit(makeRequest("job"));
+    for (std::size_t start = 0; start < 3; ++start) {
+        REQUIRE(entry.starts_.size() == start + 1);
+        entry.core_.receive(entry.starts_[start].first, Wire::RunStalled { entry.starts_[start].second.run_, 1'000'000 }, entry.now_);
+        entry.collect();
+        entry.end(start, RunEnd::Stopped);
+        if (start == 2)
+            entry.answers_.clear();
+    }
+    CHECK(entry.core_.counters().movedRuns_ == 2);
+}
+
+TEST_CASE("A slow target with room is passed over for a full one that has room soon")
+{
+    EntryAtWork entry;
+    auto slow = openReport();
+    slow.slownessPermille_ = 6000;
+    entry.core_.receive(LinkId(1), slow, entry.now_);
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.backlogMicroseconds_ = 20'000;
+    entry.core_.receive(LinkId(2), full, entry.now_);
+    entry.submit(makeRequest("job"));
+    REQUIRE(entry.starts_.size() == 1);
+    CHECK(entry.starts_[0].first == LinkId(2));
+}
+
+TEST_CASE("Queues of one service bear the same share of rejections, those of others bear none; it is soon forgotten")
+{
+    RejectionShares shares;
+    Time now { std::chrono::hours(1) };
+    for (int i = 0; i < 45; ++i) {
+        shares.record("service", "urgent", i % 2 == 0, now);
+        shares.record("service", "patient", false, now);
+        shares.record("other", "apart", false, now);
+    }
+    CHECK(shares.shortfall("service", "urgent", now) == Approx(0));
+    // 23 of 45, as if five more had been accepted.
+    CHECK(shares.shortfall("service", "patient", now) == Approx(0.46));
+    CHECK(shares.shortfall("service", "new", now) == Approx(0.46));
+    CHECK(shares.shortfall("other", "apart", now) == Approx(0));
+    CHECK(shares.shortfall("none", "none", now) == Approx(0));
+    now += std::chrono::seconds(5);
+    CHECK(shares.shortfall("service", "patient", now) < 0.05);
+}
+
 TEST_CASE("A caller that leaves, or cancels, stops its job, unless another waits for it too")
 {
     auto [isCancel, others] = GENERATE(table<bool, int>({ { false, 0 }, { false, 1 }, { true, 0 } }));
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -13,6 +13,12 @@
 
 constexpr LinkId link { 1 };
 
+/// How long a task takes, and how long its caller waits.
+struct TaskTimes {
+    Duration work_ { milliseconds(1) };
+    Duration patience_ { std::chrono::seconds(10) };
+};
+
 /// An agent with one entry and one target, driven by hand.
 class AgentAtWork {
 public:
@@ -37,6 +43,13 @@
         collect();
     }
 
+    /// A heartbeat that tells of another capacity.
+    void beatWith(std::uint32_t milliCores)
+    {
+        core_.receive(TargetHeartbeat { .incarnation_ = { "target", 1 }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = {}, .capacity_ = { milliCores, 1000, 0 }, .isDraining_ = false }, now_);
+        collect();
+    }
+
     /// Answers every lease call that is under way with the same.
     void answerLease(LeaseReply reply)
     {
@@ -56,9 +69,9 @@
         collect();
     }
 
-    void startRun(std::uint64_t run, Duration wait = milliseconds(100), std::uint32_t milliCores = 1000, Duration due = milliseconds(100))
+    void startRun(std::uint64_t run, Duration wait = milliseconds(100), std::uint32_t milliCores = 1000, Duration due = milliseconds(100), TaskTimes times = {})
     {
-        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = 1000, .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .patienceMicroseconds_ = 10'000'000 }, now_);
+        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = static_cast<std::uint64_t>(times.work_.count()), .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .patienceMicroseconds_ = static_cast<std::uint64_t>(times.patience_.count()) }, now_);
         pass({});
     }
 
@@ -476,6 +489,77 @@
     CHECK_FALSE(monitor.isSuspect());
 }
 
+TEST_CASE("A run's pace foretells its time once it is known, and follows the newest part of the run")
+{
+    struct Row {
+        std::string name_;
+        /// What the lists say, 50 ms apart.
+        std::vector<std::uint32_t> percents_;
+        std::optional<int> totalMs_;
+        bool isStuck_;
+    };
+    // Expected to take 500 ms.
+    auto row = GENERATE(values<Row>({
+        { "too new", { 10 }, std::nullopt, false },
+        { "as expected", { 9, 19, 29 }, 500, false },
+        { "five times as slow", { 2, 4, 6, 8 }, 2500, false },
+        { "turned slow", { 20, 40, 42, 44, 46, 48 }, 2500, false },
+        { "stuck", { 20, 20, 20, 20, 20, 20, 20, 20 }, 3'600'000, true },
+        { "never began to move", { 0, 0, 0, 0, 0, 0, 0, 0 }, 3'600'000, true },
+    }));
+    INFO(row.name_);
+    Time now { std::chrono::hours(1) };
+    RunProgress progress;
+    CHECK_FALSE(progress.total());
+    progress.begin(milliseconds(500), now);
+    for (std::uint32_t percent : row.percents_) {
+        now += milliseconds(50);
+        progress.note(percent, now);
+    }
+    CHECK(progress.isStuck() == row.isStuck_);
+    REQUIRE(progress.total().has_value() == row.totalMs_.has_value());
+    if (row.totalMs_)
+        CHECK(static_cast<double>(progress.total()->count()) == Approx(*row.totalMs_ * 1000.0).epsilon(0.15));
+}
+
+TEST_CASE("Runs that a slow target holds up, that are stuck, or that outlast their callers are told of")
+{
+    struct Row {
+        std::string name_;
+        /// Done in 50 ms of the first run, and of the others.
+        std::uint32_t first_;
+        std::uint32_t others_;
+        int patienceMs_;
+        bool isTold_;
+    };
+    // Three runs of 200 ms each.
+    auto row = GENERATE(values<Row>({
+        { "all as expected", 25, 25, 10'000, false },
+        { "slow by itself", 4, 25, 10'000, false },
+        { "a slow target", 4, 4, 10'000, true },
+        { "stuck", 0, 25, 10'000, true },
+        { "slow by itself, its caller leaves before", 8, 25, 400, true },
+        { "as expected, its caller stays just long enough", 20, 25, 400, false },
+    }));
+    INFO(row.name_);
+    AgentAtWork agent;
+    agent.beatWith(4000);
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        agent.startRun(run, milliseconds(100), 1000, milliseconds(100), { milliseconds(200), run == 1 ? milliseconds(row.patienceMs_) : std::chrono::seconds(10) });
+        agent.reply(run - 1, CallAnswer::Accepted);
+    }
+    for (std::uint32_t step = 1; step <= 4; ++step) {
+        agent.pass(milliseconds(50));
+        agent.answerLease({ .running_ = { { { "job.0.0.1", 1 }, std::min(99U, step * row.first_) }, { { "job.0.0.2", 1 }, std::min(99U, step * row.others_) }, { { "job.0.0.3", 1 }, std::min(99U, step * row.others_) } }, .ended_ = {} });
+        agent.pass({});
+    }
+    bool isTold = std::any_of(agent.messages_.begin(), agent.messages_.end(), [](const auto& item) {
+        const auto* stalled = std::get_if<Wire::RunStalled>(&item.message_);
+        return stalled && stalled->run_ == 1;
+    });
+    CHECK(isTold == row.isTold_);
+}
+
 TEST_CASE("A target's backlog is the time until a place is free, by what runs and waits there")
 {
     struct Row {
