--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -14,6 +14,11 @@
 
 /// An end that an entry does not confirm is kept in this number at most.
 constexpr std::size_t maxUnconfirmed = 4096;
+/// A task that would be returned for lack of room stays if it is expected to begin so soon: the way to another target and
+/// the next choice, which may be as wrong, take about as long.
+constexpr Duration leastTolerableWait = std::chrono::milliseconds(10);
+/// The part of its own time that a task may wait like this.
+constexpr Duration::rep tolerableShare = 5;
 
 } // namespace
 
@@ -148,8 +153,12 @@
         reason = NotStartedReason::NoRoom;
     else if (runs_.findOnTarget(run.name_))
         reason = NotStartedReason::OldNumber;
-    else if (!message.waitMicroseconds_ && !hasRoom(target_.heartbeat().capacity_, runs_.used() + runs_.queued(), message.need_))
-        reason = NotStartedReason::NoRoom;
+    else if (!message.waitMicroseconds_ && !hasRoom(target_.heartbeat().capacity_, runs_.used() + runs_.queued(), message.need_)) {
+        Duration tolerable = std::max<Duration>(leastTolerableWait, run.work_ / tolerableShare);
+        if (expectedBacklog(runs_, target_.heartbeat().capacity_, slowness(now), now) > tolerable)
+            reason = NotStartedReason::NoRoom;
+        run.waitUntil_ = now + tolerable * 2;
+    }
     RunId id = runs_.add(std::move(run));
     if (reason == NotStartedReason::None)
         return;
--- a/UnitTests/Runs/JobCoreTest.cpp
+++ b/UnitTests/Runs/JobCoreTest.cpp
@@ -210,7 +210,9 @@
 
 TEST_CASE("A run that stalls is moved if a new one elsewhere ends sooner, and its job is given up if nothing can save it")
 {
-    enum class Outcome { Stays, Moves, GivenUp };
+    enum class Outcome { Stays,
+        Moves,
+        GivenUp };
     struct Row {
         int passedMs_;
         int remainingMs_;
