Nothing is started, and no lease extended, on a target that may have begun anew

Trace: the target began anew under its id at 1004.200; a start at 1004.279 carried a time of its earlier clock (2476 on a clock at 71), so it was taken with the longest lease that targets grant (1071, 1000 ms long instead of 700); the agent was killed at 1004.300, the entry waited 800 ms and placed the task anew while the run went on. Change: after a call without an answer (a process that ends resets its connections) the target is asked for its life, with no time given, before anything is started or any lease extended. Ruled out: a longer wait for lost agents (1070 instead of 800 ms), which would cost every task on a lost machine. Test: RunsTest, 'After a call without an answer'; the test's world now resets the calls under way when a target's process ends, as the platform's connections do.

--- a/Lagoonpick/Run/RunCore.cpp
+++ b/Lagoonpick/Run/RunCore.cpp
@@ -87,7 +87,7 @@
 
 void RunCore::startWhatFits(Time now)
 {
-    if (!isOpen() || now < noRoomUntil_)
+    if (!isOpen() || doubtedAt_ || now < noRoomUntil_)
         return;
     for (RunId id = nextToStart(); id; id = nextToStart())
         start(id, *runs_.find(id), now);
@@ -130,6 +130,7 @@
         if (isStarting) {
             log(LogLine("start_unanswered").text("task", run->name_.task_).number("number", run->name_.number_).milliseconds("after_ms", now - run->startSentAt_));
             run->doubtedAt_ = now;
+            doubtedAt_ = now;
             renewLease(Duration(), now);
         }
         return;
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -113,6 +113,7 @@
     void keepLease(Time now);
     void renewLease(Duration wait, Time now);
     void noteRestart();
+    void doubt(Time now);
     void noteEnds(const LeaseReply& reply, Time now);
     void noteRunning(const LeaseReply& reply, Time sentAt, Time now);
     void noteOrphans(const std::set<RunName>& listed, Time sentAt, Time now);
@@ -158,6 +159,8 @@
     bool hasLeaseAnswer_ { false };
     bool isLeaseLost_ { false };
     std::uint64_t endsSeen_ { 0 };
+    /// A call got no answer then, so the target may have begun anew; no start is sent before it has answered again.
+    std::optional<Time> doubtedAt_;
     /// The target has said that it is full although by our count it is not.
     Time noRoomUntil_;
     /// Runs on the target that this life of the agent did not start, and when their stop was sent.
--- a/Lagoonpick/Run/RunCoreLease.cpp
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -36,10 +36,11 @@
 void RunCore::renewLease(Duration wait, Time now)
 {
     LeaseCall call { .call_ = ++lastCall_, .leaseUntil_ = {}, .fencingToken_ = fencingToken_, .endsSeen_ = endsSeen_, .wait_ = wait, .expectedTarget_ = target_.incarnation().id_ };
-    // Runs of an earlier life of this agent must not go on; and a target that doesn't answer must come to its lease's end.
+    // Runs of an earlier life of this agent must not go on; a target that doesn't answer must come to its lease's end; and one
+    // that may have begun anew must not be given a time of its earlier life's clock.
     bool isAnswering = now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2;
     auto clock = target_.clockAt(now);
-    if (hasLeaseAnswer_ && isAnswering && orphans_.empty() && clock) {
+    if (hasLeaseAnswer_ && isAnswering && !doubtedAt_ && orphans_.empty() && clock) {
         call.leaseUntil_ = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
         leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
     }
@@ -71,7 +72,7 @@
         return;
     default:
         ++counters_.leaseAnswersMissed_;
-        renewAt_ = now + renewalPause;
+        doubt(now);
         return;
     }
     if (target_.updateBirth(reply.bornAt_))
@@ -84,6 +85,8 @@
     if (reply.clock_)
         target_.updateClock(*reply.clock_, now);
     leaseAnsweredAt_ = now;
+    if (doubtedAt_ && sent.sentAt_ >= *doubtedAt_)
+        doubtedAt_.reset();
     noteEnds(reply, now);
     noteRunning(reply, sent.sentAt_, now);
     if (!hasLeaseAnswer_) {
@@ -95,6 +98,17 @@
     keepLease(now);
 }
 
+/// A target that began anew takes a start for its clock's earlier life with the longest lease that it grants, longer than
+/// entries wait for a lost agent. So it is asked for its life before anything more is started.
+void RunCore::doubt(Time now)
+{
+    bool isNew = !doubtedAt_;
+    doubtedAt_ = now;
+    renewAt_ = now + renewalPause;
+    if (isNew && hasLeaseAnswer_)
+        renewLease(Duration(), now);
+}
+
 /// The target began anew under its id. What it runs now is told by its lists: a start that was under way may have
 /// reached the new life, so what is not listed counts as lost only by the rule for every list.
 void RunCore::noteRestart()
--- a/UnitTests/Runs/RunCoreTest.cpp
+++ b/UnitTests/Runs/RunCoreTest.cpp
@@ -194,6 +194,32 @@
     CHECK(agent.ends()[0].end_ == RunEnd::Done);
 }
 
+TEST_CASE("After a call without an answer the target is asked for its life before anything is started or any lease extended")
+{
+    auto isStart = GENERATE(true, false);
+    AgentAtWork agent;
+    agent.startRun(1);
+    if (isStart)
+        agent.reply(0, CallAnswer::NoAnswer);
+    else
+        agent.core_.receive(LeaseReply { .call_ = agent.leases_.back().call_, .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, agent.now_);
+    agent.pass({});
+    std::size_t starts = agent.starts_.size();
+    agent.startRun(2);
+    CHECK(agent.starts_.size() == starts);
+    CHECK_FALSE(agent.leases_.back().leaseUntil_);
+    // The answer to a call from before proves nothing.
+    agent.core_.receive(LeaseReply { .call_ = agent.leases_.front().call_, .answer_ = CallAnswer::Accepted, .clock_ = 1000, .bornAt_ = 1, .running_ = {}, .ended_ = {} }, agent.now_);
+    agent.pass({});
+    CHECK(agent.starts_.size() == starts);
+    agent.pass(milliseconds(5));
+    agent.answerLease({});
+    agent.pass({});
+    CHECK(agent.starts_.size() == starts + 1);
+    agent.pass(milliseconds(50));
+    CHECK(agent.leases_.back().leaseUntil_);
+}
+
 TEST_CASE("A start without an answer that is not listed is over only once its stop was answered and a later list lacks it")
 {
     auto isLookAnswered = GENERATE(true, false);
@@ -235,12 +261,13 @@
 TEST_CASE("What does not fit waits, the earliest due first, or is returned at once, with a report before it")
 {
     AgentAtWork agent;
-    agent.startRun(1);
-    agent.startRun(2);
-    agent.startRun(3, milliseconds(50), 1000, milliseconds(90));
-    agent.startRun(4, milliseconds(50), 1000, milliseconds(10));
+    const TaskTimes times { milliseconds(100) };
+    agent.startRun(1, milliseconds(100), 1000, milliseconds(100), times);
+    agent.startRun(2, milliseconds(100), 1000, milliseconds(100), times);
+    agent.startRun(3, milliseconds(50), 1000, milliseconds(90), times);
+    agent.startRun(4, milliseconds(50), 1000, milliseconds(10), times);
     CHECK(agent.starts_.size() == 2);
-    agent.startRun(5, Duration());
+    agent.startRun(5, Duration(), 1000, milliseconds(100), times);
     REQUIRE(agent.ends().size() == 1);
     CHECK(agent.ends()[0].run_ == 5);
     CHECK(agent.ends()[0].reason_ == NotStartedReason::NoRoom);
@@ -255,6 +282,19 @@
     CHECK(agent.ends().back().reason_ == NotStartedReason::NoRoom);
 }
 
+TEST_CASE("A task that there is no room for stays if a place is free soon, for a fifth of its work")
+{
+    auto [workMs, isKept] = GENERATE(table<int, bool>({ { 100, false }, { 40, true } }));
+    AgentAtWork agent;
+    for (std::uint64_t run = 1; run <= 2; ++run)
+        agent.startRun(run, milliseconds(100), 1000, milliseconds(100), { milliseconds(workMs) });
+    agent.pass(milliseconds(33));
+    agent.startRun(3, Duration(), 1000, milliseconds(100), { milliseconds(workMs) });
+    CHECK(agent.ends().empty() == isKept);
+    agent.pass(milliseconds(25));
+    CHECK(agent.ends().size() == 1);
+}
+
 TEST_CASE("Nothing starts on a target that is not known, leaves, or was lost")
 {
     enum class Why {
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t plannedEntryCount = 4;
 constexpr Duration tickInterval = milliseconds(20);
 constexpr Duration faultInterval = milliseconds(100);
+/// A fraction of the time that agents leave for a stop.
+constexpr Duration targetStep = milliseconds(5);
 constexpr Duration resendInterval = milliseconds(1300);
 constexpr Duration drainLimit = milliseconds(2000);
 constexpr Duration maxGap = milliseconds(400);
@@ -64,6 +66,8 @@
     std::optional<Time> drainAcknowledgedAt_;
     std::int64_t clockOffsetMs_ { 0 };
     std::vector<std::function<void()>> inbox_;
+    /// What becomes of the calls that are under way if their connections are reset, and until when they are.
+    std::vector<std::pair<Time, std::function<void()>>> calls_;
 };
 
 struct RunWorld::Caller {
@@ -441,10 +445,12 @@
             agent.target_->receive(LeaseCall { .leaseUntil_ = call.leaseUntil_, .fencingToken_ = call.fencingToken_ }, now_);
             (*poll)(now_ + call.wait_);
         });
-        at(giveUpAt, [this, &agent, call, life, isAnswered] {
+        auto giveUp = [this, &agent, call, life, isAnswered] {
             if (!std::exchange(*isAnswered, true))
                 intoAgent(agent, life, [this, &agent, call] { agent.core_->receive(LeaseReply { .call_ = call.call_, .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} }, now_); });
-        });
+        };
+        at(giveUpAt, giveUp);
+        noteCall(agent, giveUpAt - now_, giveUp);
     }
 }
 
@@ -457,6 +463,22 @@
             call(*agent.target_, isLate);
     });
     at(now_ + timeout, giveUp);
+    noteCall(agent, timeout, giveUp);
+}
+
+void RunWorld::noteCall(Agent& agent, Duration timeout, std::function<void()> giveUp)
+{
+    std::erase_if(agent.calls_, [this](const auto& call) { return call.first <= now_; });
+    agent.calls_.emplace_back(now_ + timeout, std::move(giveUp));
+}
+
+/// The connections to a process end with it, unless they are cut.
+void RunWorld::resetCalls(Agent& agent)
+{
+    if (now_ < agent.targetCutUntil_)
+        return;
+    for (auto& [until, giveUp] : std::exchange(agent.calls_, {}))
+        at(now_ + linkDelay, giveUp);
 }
 
 void RunWorld::began(std::size_t target, const RunName& name)
@@ -584,6 +606,7 @@
             agent->frozenUntil_ = std::max(agent->frozenUntil_, now_ + between(milliseconds(100), milliseconds(3000)));
         if (chance(faults_.targetRestart_)) {
             agent->target_->restart(now_);
+            resetCalls(*agent);
             agent->drainAcknowledgedAt_.reset();
         }
         if (chance(faults_.targetCut_))
@@ -610,9 +633,18 @@
     }
 }
 
+/// Lets runs and leases end when they do, also on targets that nobody calls.
+void RunWorld::advanceTargets()
+{
+    for (auto& agent : agents_)
+        agent->target_->advance(now_);
+    at(now_ + targetStep, [this] { advanceTargets(); });
+}
+
 void RunWorld::run(Duration span)
 {
     end_ = now_ + span;
+    advanceTargets();
     auto faults = std::make_shared<std::function<void()>>();
     *faults = [this, faults] {
         misbehave();
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -73,6 +73,7 @@
     void updateTarget(std::size_t target);
     void losePower(Agent& agent);
     StandIns::LeasedTarget::Running describe(const RunName& name);
+    void advanceTargets();
     void runUntil(Time end);
     void finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer);
     void misbehave();
@@ -86,6 +87,8 @@
     void applyEntry(Entry& entry);
     void applyAgent(Agent& agent);
     void callTarget(Agent& agent, const std::function<void(StandIns::LeasedTarget&, bool isLate)>& call, const std::function<void()>& giveUp, Duration timeout, bool canBeLate);
+    void noteCall(Agent& agent, Duration timeout, std::function<void()> giveUp);
+    void resetCalls(Agent& agent);
     void connect(Entry& entry, Agent& agent);
     void breakLink(Link& link, bool tellEntry, bool tellAgent);
     void transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message);
