--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -187,6 +187,16 @@
     return kinds_[kind].sent_ ? kinds_[kind].inTime_ / kinds_[kind].sent_ : 1;
 }
 
+double LoadOutcome::inTimeOfAll() const
+{
+    Count sum;
+    for (const auto& kind : kinds_) {
+        sum.sent_ += kind.sent_;
+        sum.inTime_ += kind.inTime_;
+    }
+    return sum.sent_ ? sum.inTime_ / sum.sent_ : 1;
+}
+
 double LoadOutcome::late(std::size_t kind) const
 {
     return kinds_[kind].sent_ ? kinds_[kind].late_ / kinds_[kind].sent_ : 0;
--- a/UnitTests/Runs/RunLoad.h
+++ b/UnitTests/Runs/RunLoad.h
@@ -111,6 +111,7 @@
 
     /// The share of a kind's jobs that were in time; that were done, but late; that were rejected.
     double inTime(std::size_t kind) const;
+    double inTimeOfAll() const;
     double late(std::size_t kind) const;
     double rejected(std::size_t kind) const;
     /// The mean of all kinds' worth: a job in time counts 1, a late one a fifth.
