--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -77,6 +77,13 @@
     void runUntil(Time end);
     void finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer);
     void misbehave();
+    void harmEntries();
+    void harmAgents();
+    void harmTarget(Agent& agent);
+    void harmLinks();
+    void killEntry(Entry& entry);
+    void killAgent(Agent& agent);
+    void cutLink(const std::shared_ptr<Link>& link);
     /// Hands an input to a process as its host would: once it runs, after it has noticed that it stood still.
     void intoEntry(Entry& entry, std::uint64_t life, const std::function<void()>& input);
     void intoAgent(Agent& agent, std::uint64_t life, const std::function<void()>& input);
@@ -87,6 +94,9 @@
     void applyEntry(Entry& entry);
     void applyAgent(Agent& agent);
     void callTarget(Agent& agent, const std::function<void(StandIns::LeasedTarget&, bool isLate)>& call, const std::function<void()>& giveUp, Duration timeout, bool canBeLate);
+    void sendStart(Agent& agent, const StartCall& start);
+    void sendStop(Agent& agent, const StopCall& stop);
+    void sendLease(Agent& agent, const LeaseCall& call);
     void noteCall(Agent& agent, Duration timeout, std::function<void()> giveUp);
     void resetCalls(Agent& agent);
     void connect(Entry& entry, Agent& agent);
--- /dev/null
+++ b/UnitTests/Runs/RunWorldCallers.cpp
@@ -0,0 +1,77 @@
+#include "UnitTests/Runs/RunWorldParts.h"
+
+#include <utility>
+
+// The callers: what they send, and what the answers say.
+
+namespace Lagoonpick {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Duration resendInterval = milliseconds(1300);
+
+} // namespace
+
+void RunWorld::sendJob(const std::string& id, const JobRequest& request, int attempt)
+{
+    std::size_t index = std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
+    Entry& entry = *entries_[index];
+    std::uint64_t caller = ++lastCaller_;
+    callers_[caller] = { id, request, attempt, index, entry.life_ };
+    if (!entry.isUp_) {
+        at(now_ + linkDelay, [this, caller] { finishAttempt(caller, std::nullopt); });
+        return;
+    }
+    // A request whose caller has gone is not handed over.
+    intoEntry(entry, entry.life_, [this, &entry, caller, request] {
+        if (callers_.contains(caller))
+            entry.core_->submit(CallerId(caller), request, now_);
+    });
+    Duration patience = chance(faults_.giveUp_) ? between(milliseconds(10), milliseconds(300)) : request.patience_;
+    at(now_ + patience, [this, caller, index, life = entry.life_] {
+        if (!callers_.contains(caller))
+            return;
+        Entry& left = *entries_[index];
+        intoEntry(left, life, [this, &left, caller] { left.core_->abandon(CallerId(caller), now_); });
+        finishAttempt(caller, std::nullopt);
+    });
+}
+
+void RunWorld::finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer)
+{
+    auto found = callers_.find(caller);
+    if (found == callers_.end())
+        return;
+    Caller attempt = found->second;
+    callers_.erase(found);
+    JobRecord& record = jobs_[attempt.id_];
+    bool isRejected = answer && answer->verdict_ == JobVerdict::Rejected;
+    record.wasOnlyRejected_ = record.wasOnlyRejected_ && isRejected;
+    if (isRejected) {
+        record.isOpen_ = false;
+        if (auto planned = planned_.find(attempt.id_); planned != planned_.end())
+            outcome_->recordRejected(*planned->second);
+        if (record.wasOnlyRejected_ && record.hasStarted_)
+            report("rejected although it had started: " + attempt.id_);
+        return;
+    }
+    if (answer && answer->verdict_ == JobVerdict::Done) {
+        ++done_;
+        record.isOpen_ = false;
+        if (auto planned = planned_.find(attempt.id_); planned != planned_.end())
+            outcome_->recordDone(*planned->second, now_ - planBeganAt_ - planned->second->at_);
+        if (record.doneTasks_.size() != record.taskCount_)
+            report("answered as done before all of its tasks were: " + attempt.id_);
+        return;
+    }
+    bool isFinal = answer && answer->verdict_ != JobVerdict::GivenUp;
+    if (isFinal || attempt.attempt_ >= maxAttempts) {
+        record.isOpen_ = false;
+        return;
+    }
+    at(now_ + resendInterval, [this, attempt] { sendJob(attempt.id_, attempt.request_, attempt.attempt_ + 1); });
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/Runs/RunWorldLinks.cpp
@@ -0,0 +1,78 @@
+#include "UnitTests/Runs/RunWorldParts.h"
+
+#include <utility>
+
+// The links between entries and agents.
+
+namespace Lagoonpick {
+
+using std::chrono::milliseconds;
+
+void RunWorld::connect(Entry& entry, Agent& agent)
+{
+    auto link = std::make_shared<Link>(Link { LinkId(++lastLink_), &entry, &agent, entry.life_, agent.life_ });
+    links_[link->id_] = link;
+    intoEntry(entry, entry.life_, [this, &entry, link] { entry.core_->opened(link->id_, now_); });
+    intoAgent(agent, agent.life_, [this, &agent, link] { agent.core_->opened(link->id_, now_); });
+}
+
+std::shared_ptr<RunWorld::Link> RunWorld::linkOf(LinkId id) const
+{
+    auto found = links_.find(id);
+    return found == links_.end() ? nullptr : found->second;
+}
+
+void RunWorld::breakLink(Link& link, bool tellEntry, bool tellAgent)
+{
+    if (!link.isOpen_)
+        return;
+    link.isOpen_ = false;
+    Entry& entry = *link.entry_;
+    Agent& agent = *link.agent_;
+    LinkId id = link.id_;
+    std::uint64_t entryLife = link.entryLife_;
+    std::uint64_t agentLife = link.agentLife_;
+    auto closeEntry = [&entry, id, entryLife, this] {
+        intoEntry(entry, entryLife, [&entry, id, this] { entry.core_->closed(id, now_); });
+    };
+    auto closeAgent = [&agent, id, agentLife, this] {
+        intoAgent(agent, agentLife, [&agent, id, this] { agent.core_->closed(id, now_); });
+    };
+    // Behind a cut neither end hears of the other's reset.
+    if (tellEntry && !link.isCut_)
+        at(now_ + linkDelay, closeEntry);
+    if (tellAgent && !link.isCut_)
+        at(now_ + linkDelay, closeAgent);
+    Duration redial = link.isCut_ ? milliseconds(1500) : between(milliseconds(25), milliseconds(100));
+    at(now_ + redial, [this, &entry, &agent, entryLife, agentLife] {
+        if (entry.isUp_ && agent.isUp_ && entry.life_ == entryLife && agent.life_ == agentLife)
+            connect(entry, agent);
+    });
+    links_.erase(id);
+}
+
+void RunWorld::transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message)
+{
+    if (!link || !link->isOpen_)
+        return;
+    taskMessages_ += std::holds_alternative<Wire::StartRun>(message) || std::holds_alternative<Wire::RunEnded>(message) || std::holds_alternative<Wire::StopRun>(message);
+    if (link->isCut_) {
+        link->held_.emplace_back(toAgent, std::move(message));
+        return;
+    }
+    at(now_ + linkDelay, [this, link, toAgent, message = std::move(message)] {
+        if (toAgent) {
+            intoAgent(*link->agent_, link->agentLife_, [this, link, message] {
+                if (link->isOpen_)
+                    link->agent_->core_->receive(link->id_, message, now_);
+            });
+            return;
+        }
+        intoEntry(*link->entry_, link->entryLife_, [this, link, message] {
+            if (link->isOpen_)
+                link->entry_->core_->receive(link->id_, message, now_);
+        });
+    });
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/UnitTests/Runs/RunWorldLoad.cpp
@@ -0,0 +1,100 @@
+#include "UnitTests/Runs/RunWorldParts.h"
+
+#include <algorithm>
+
+// A planned load: its jobs, and what happens to its targets.
+
+namespace Lagoonpick {
+
+using std::chrono::milliseconds;
+
+void RunWorld::sendPlanned(const PlannedJob& job)
+{
+    const std::string& kind = plan_->kinds_[job.kind_].name_;
+    auto tasks = static_cast<std::uint32_t>(job.work_.size());
+    JobRequest request { .id_ = job.id_, .host_ = "host", .path_ = "/" + kind + "/", .payload_ = "payload", .taskCount_ = tasks, .need_ = plan_->need_, .estimate_ = job.estimate_, .patience_ = milliseconds(1500) };
+    jobs_[job.id_].taskCount_ = tasks;
+    planned_[job.id_] = &job;
+    ++sent_;
+    sendJob(job.id_, request, maxAttempts);
+    if (!job.leavesEarly_)
+        return;
+    at(now_ + job.patience_, [this, id = job.id_] {
+        for (const auto& [caller, attempt] : std::map(callers_)) {
+            if (attempt.id_ != id)
+                continue;
+            Entry& entry = *entries_[attempt.entry_];
+            intoEntry(entry, attempt.entryLife_, [this, &entry, caller = caller] { entry.core_->abandon(CallerId(caller), now_); });
+            finishAttempt(caller, std::nullopt);
+        }
+    });
+}
+
+void RunWorld::losePower(Agent& agent)
+{
+    agent.isUp_ = false;
+    agent.inbox_.clear();
+    agent.target_->restart(now_);
+    // The other ends hear nothing of it.
+    for (auto& [id, link] : links_) {
+        if (link->agent_ == &agent)
+            link->isCut_ = true;
+    }
+}
+
+/// Sets a target as the phases that are in force have it.
+void RunWorld::updateTarget(std::size_t index)
+{
+    Agent& agent = *agents_[index];
+    StandIns::LeasedTarget& target = *agent.target_;
+    Duration time = now_ - planBeganAt_;
+    double speed = plan_->targets_[index].speed_;
+    bool isFailing = false;
+    bool isHanging = false;
+    for (std::size_t number : plan_->targets_[index].phases_) {
+        const LoadPhase& phase = plan_->load_.phases_[number];
+        if (time < phase.from_ || time >= phase.until_)
+            continue;
+        isFailing = isFailing || phase.disturbance_ == Disturbance::FailingTargets;
+        isHanging = isHanging || phase.disturbance_ == Disturbance::HangingTargets;
+        speed /= phase.disturbance_ == Disturbance::SlowTargets ? phase.factor_ : 1;
+    }
+    target.setSpeed(speed, now_);
+    target.setFailing(isFailing);
+    target.setHanging(isHanging);
+}
+
+void RunWorld::apply(const LoadPhase& phase, std::size_t index, bool isOver)
+{
+    for (std::size_t target = 0; target < agents_.size(); ++target) {
+        const auto& hit = plan_->targets_[target].phases_;
+        if (std::find(hit.begin(), hit.end(), index) == hit.end())
+            continue;
+        updateTarget(target);
+        if (phase.disturbance_ != Disturbance::LostTargets)
+            continue;
+        if (isOver)
+            startAgent(*agents_[target]);
+        else
+            losePower(*agents_[target]);
+    }
+}
+
+LoadOutcome RunWorld::play()
+{
+    // Time to find each other.
+    constexpr Duration start = std::chrono::seconds(3);
+    planBeganAt_ = now_ + start;
+    outcome_ = LoadOutcome(*plan_);
+    for (std::size_t index = 0; index < plan_->load_.phases_.size(); ++index) {
+        const LoadPhase& phase = plan_->load_.phases_[index];
+        at(planBeganAt_ + phase.from_, [this, &phase, index] { apply(phase, index, false); });
+        at(planBeganAt_ + phase.until_, [this, &phase, index] { apply(phase, index, true); });
+    }
+    for (const auto& job : plan_->jobs_)
+        at(planBeganAt_ + job.at_, [this, &job] { sendPlanned(job); });
+    runUntil(planBeganAt_ + plan_->span_ + std::chrono::seconds(3));
+    return *outcome_;
+}
+
+} // namespace Lagoonpick
--- /dev/null
+++ b/scripts/mutation.sh
@@ -0,0 +1,39 @@
+# Sourced by the scripts that show that a proof can fail: breaks one mechanism at a time, in a copy of the repository.
+# Before it, set `targets` (what to build) and define `holds`, which succeeds if the proof still holds and writes to run.log.
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files | tar cf - -T - | tar xf - -C "$copy"
+cd "$copy" || exit 1
+cmake -S . -B build -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_CXX_COMPILER_LAUNCHER=ccache \
+    -DCMAKE_EXE_LINKER_FLAGS=-fuse-ld=lld -DCMAKE_CXX_FLAGS=-Wno-error >/dev/null
+survivors=0
+# mutate WHAT FILE FROM TO [FROM TO]...: replaces the first FROM by TO, and expects the proof to fall.
+mutate() {
+    local what=$1 file=$2
+    shift 2
+    [[ $what =~ ${ONLY:-.} ]] || return 0
+    cp "$file" "$file.orig"
+    while [ $# -gt 0 ]; do
+        MUTATE_FROM=$1 MUTATE_TO=$2 perl -0pi -e 's/\Q$ENV{MUTATE_FROM}\E/$ENV{MUTATE_TO}/' "$file"
+        shift 2
+    done
+    if cmp -s "$file" "$file.orig"; then
+        echo "STALE     $what: nothing to change in $file"
+        survivors=$((survivors + 1))
+        return
+    fi
+    touch "$file"
+    # shellcheck disable=SC2154
+    if ! cmake --build build --target $targets >build.log 2>&1; then
+        echo "NO BUILD  $what"
+        grep -m 3 error: build.log
+        survivors=$((survivors + 1))
+    elif holds >run.log 2>&1; then
+        echo "SURVIVED  $what"
+        survivors=$((survivors + 1))
+    else
+        echo "caught    $what: $(reason)"
+    fi
+    mv "$file.orig" "$file"
+    touch "$file"
+}
