--- /dev/null
+++ b/Control/JobHistory.cpp
@@ -0,0 +1,149 @@
+#include "Control/JobHistory.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+
+namespace Lagoonpick {
+
+namespace json = boost::json;
+
+namespace {
+
+/// What was learnt shortly before a job came may explain how it fared.
+constexpr std::int64_t contextMilliseconds = 2000;
+
+/// Events that change what a process believes of the system, or its own life.
+constexpr std::array<std::string_view, 24> beliefEvents { "agent_attached", "agent_forgotten", "agent_lost", "agent_silent",
+    "configuration_installed", "configuration_unreadable", "entry_attached", "entry_lost", "entry_silent", "registered", "registration_lost",
+    "resumed", "runs_lost", "runs_stopped", "started", "stopped", "stopping", "store_lost", "store_regained", "target_began",
+    "target_changed", "target_draining", "target_lost", "target_regained" };
+
+bool isBelief(std::string_view event)
+{
+    return std::find(beliefEvents.begin(), beliefEvents.end(), event) != beliefEvents.end();
+}
+
+std::string textOf(const json::value& value)
+{
+    return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
+}
+
+/// A task's name begins with its job's id and a dot.
+bool namesJob(const json::object& line, std::string_view job)
+{
+    const auto* named = line.if_contains("job");
+    if (named && named->is_string() && std::string_view(named->get_string()) == job)
+        return true;
+    const auto* task = line.if_contains("task");
+    if (!task || !task->is_string())
+        return false;
+    std::string_view name = task->get_string();
+    return name.starts_with(job) && name.substr(job.size()).starts_with(".");
+}
+
+std::optional<HistoryLine> decodeLine(const json::object& object)
+{
+    const auto* at = object.if_contains("at_ms");
+    const auto* process = object.if_contains("process");
+    const auto* event = object.if_contains("event");
+    if (!at || !at->is_int64() || !process || !event)
+        return std::nullopt;
+    HistoryLine line { at->get_int64(), textOf(*process), textOf(*event), {}, false };
+    for (const auto& [name, value] : object) {
+        if (name != "at_ms" && name != "process" && name != "event")
+            line.details_ += fmt::format("{}{}={}", line.details_.empty() ? "" : " ", std::string_view(name), textOf(value));
+    }
+    return line;
+}
+
+std::string conclude(const std::vector<HistoryLine>& lines)
+{
+    bool isAccepted = false;
+    for (auto line = lines.rbegin(); line != lines.rend(); ++line) {
+        if (!line->isOfJob_)
+            continue;
+        if (line->event_ == "job_answered" || line->event_ == "job_rejected" || line->event_ == "job_abandoned")
+            return fmt::format("last word: {} by {}: {}", line->event_, line->process_, line->details_);
+        isAccepted = isAccepted || line->event_ == "job_accepted";
+    }
+    if (isAccepted)
+        return "accepted and never answered: look for the end of the entry's process, or a pause of it";
+    return "no entry took it: look at the balancer, at entries that were stopping, and at the id";
+}
+
+} // namespace
+
+JobHistory::JobHistory(std::string job)
+    : job_(std::move(job))
+{
+}
+
+void JobHistory::add(std::string_view line)
+{
+    auto begin = line.find('{');
+    if (begin == std::string_view::npos)
+        return;
+    json::error_code error;
+    auto value = json::parse(line.substr(begin), error);
+    auto decoded = !error && value.is_object() ? decodeLine(value.get_object()) : std::nullopt;
+    if (!decoded) {
+        ++unreadable_;
+        return;
+    }
+    decoded->isOfJob_ = namesJob(value.get_object(), job_);
+    if (decoded->isOfJob_)
+        ofJob_.push_back(std::move(*decoded));
+    else if (isBelief(decoded->event_))
+        beliefs_.push_back(std::move(*decoded));
+}
+
+std::vector<HistoryLine> JobHistory::lines() const
+{
+    std::vector<HistoryLine> lines = ofJob_;
+    auto byTime = [](const auto& left, const auto& right) { return left.atMilliseconds_ < right.atMilliseconds_; };
+    std::stable_sort(lines.begin(), lines.end(), byTime);
+    if (lines.empty())
+        return lines;
+    std::int64_t from = lines.front().atMilliseconds_ - contextMilliseconds;
+    std::int64_t until = lines.back().atMilliseconds_;
+    std::set<std::string> involved;
+    for (const auto& line : lines)
+        involved.insert(line.process_);
+    for (const auto& line : beliefs_) {
+        if (line.atMilliseconds_ >= from && line.atMilliseconds_ <= until && involved.contains(line.process_))
+            lines.push_back(line);
+    }
+    std::stable_sort(lines.begin(), lines.end(), byTime);
+    return lines;
+}
+
+std::string writeHistoryTable(const JobHistory& history)
+{
+    auto lines = history.lines();
+    std::size_t width = 0;
+    for (const auto& line : lines)
+        width = std::max(width, line.process_.size());
+    std::string text;
+    for (const auto& line : lines) {
+        std::int64_t after = line.atMilliseconds_ - lines.front().atMilliseconds_;
+        text += fmt::format("{:>7} ms {} {:<{}} {:<18} {}\n", after, line.isOfJob_ ? '*' : ' ', line.process_, width, line.event_, line.details_);
+    }
+    text += conclude(lines) + "\n";
+    if (history.unreadable())
+        text += fmt::format("{} lines could not be read\n", history.unreadable());
+    return text;
+}
+
+std::string writeHistoryJson(const JobHistory& history)
+{
+    json::array array;
+    for (const auto& line : history.lines())
+        array.push_back(json::object { { "at_ms", line.atMilliseconds_ }, { "process", line.process_ }, { "event", line.event_ }, { "details", line.details_ }, { "of_job", line.isOfJob_ } });
+    return json::serialize(array) + "\n";
+}
+
+} // namespace Lagoonpick
--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -1,5 +1,6 @@
 #include "Control/StateReport.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -28,6 +29,31 @@
     return "serving";
 }
 
+/// Whether a member of an object within an array is true.
+bool isTrue(const json::value& row, std::string_view member)
+{
+    const auto* value = row.is_object() ? row.get_object().if_contains(member) : nullptr;
+    return value && value->is_bool() && value->get_bool();
+}
+
+/// An entry of the users' platform: jobs wait and run, and its agents have targets that take work or don't.
+std::string lineOfJobEntry(const std::string& address, const json::object& object)
+{
+    json::array none;
+    const auto* member = object.if_contains("agents");
+    const json::array& agents = member && member->is_array() ? member->get_array() : none;
+    auto open = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "linked") && isTrue(row, "open"); });
+    auto suspect = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "suspect"); });
+    return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}  {} of {} targets open, {} suspect\n", address, "entry", textOf(object, "entry"),
+        "configuration " + textOf(object, "configuration"), textOf(object, "ready") == "true" ? "serving" : "not ready", "-", textOf(object, "jobs"), open, agents.size(), suspect);
+}
+
+std::string lineOfRunAgent(const std::string& address, const json::object& object)
+{
+    return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}  target {}\n", address, "agent", textOf(object, "agent"),
+        "configuration " + textOf(object, "configuration"), textOf(object, "draining") == "true" ? "draining" : "serving", "-", textOf(object, "runs"), textOf(object, "target"));
+}
+
 std::string lineOf(const ProcessState& state)
 {
     json::error_code error;
@@ -35,6 +61,10 @@
     if (error || !value.is_object())
         return fmt::format("{:<22} {}\n", state.address_, "no answer");
     const auto& object = value.get_object();
+    if (object.contains("ready"))
+        return lineOfJobEntry(state.address_, object);
+    if (object.contains("agent"))
+        return lineOfRunAgent(state.address_, object);
     bool isEntry = textOf(object, "role") == "entry";
     return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}\n", state.address_, textOf(object, "role"),
         textOf(object, isEntry ? "name" : "target"), textOf(object, "incarnation"), conditionOf(object),
--- a/Control/main.cpp
+++ b/Control/main.cpp
@@ -1,4 +1,5 @@
 #include "Control/ControlSettings.h"
+#include "Control/JobHistory.h"
 #include "Control/StateReport.h"
 #include "Lagoonpick/Configuration/CommandLine.h"
 #include "Lagoonpick/Transport/HttpClient.h"
@@ -13,13 +14,19 @@
 namespace asio = boost::asio;
 
 constexpr std::uint64_t maxStateBytes = 67'108'864;
+constexpr std::uint32_t statusOk = 200;
 
 asio::awaitable<void> readState(asio::io_context& context, ProcessState& state, Duration timeout)
 {
     HttpClient client(context, state.address_, maxStateBytes);
-    OutgoingRequest request { .method_ = "GET", .path_ = "/debug/state" };
-    Exchange exchange = co_await client.exchange(std::move(request), timeout);
-    state.json_ = std::move(exchange.body_);
+    // The programs on the users' platform answer at the second one, on their metrics address.
+    for (const auto* path : { "/debug/state", "/state" }) {
+        Exchange exchange = co_await client.exchange({ .method_ = "GET", .path_ = path }, timeout);
+        if (exchange.status_ == statusOk && exchange.body_.starts_with("{")) {
+            state.json_ = std::move(exchange.body_);
+            co_return;
+        }
+    }
 }
 
 std::vector<ProcessState> readStates(const ControlSettings& settings)
@@ -39,11 +46,29 @@
     return std::all_of(states.begin(), states.end(), [](const ProcessState& state) { return !state.json_.empty(); });
 }
 
+/// `lagoonpick-ctl history JOB [--json]`: reads logs from standard input; needs no settings.
+int showHistory(const std::vector<std::string>& arguments)
+{
+    bool isJson = arguments.size() == 2 && arguments[1] == "--json";
+    if (arguments.empty() || arguments[0].starts_with("-") || (arguments.size() > 1 && !isJson)) {
+        std::cerr << "lagoonpick-ctl history JOB [--json]: give a job's id; the logs are read from standard input\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    JobHistory history(arguments[0]);
+    for (std::string line; std::getline(std::cin, line);)
+        history.add(line);
+    std::cout << (isJson ? writeHistoryJson(history) : writeHistoryTable(history));
+    return static_cast<int>(ExitCode::Success);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    CommandLine line = readCommandLine(argc, argv, { "lagoonpick-ctl", "shows what the system's processes do", "Commands:\n  status  a table, a line a process\n  dump    the whole state of each process, as JSON\n", { "status", "dump" } });
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (!arguments.empty() && arguments[0] == "history")
+        return showHistory({ arguments.begin() + 1, arguments.end() });
+    CommandLine line = readCommandLine(argc, argv, { "lagoonpick-ctl", "shows what the system's processes do", "Commands:\n  status  a table, a line a process\n  dump    the whole state of each process, as JSON\n  history JOB [--json]  what became of a job, from logs on standard input\n", { "status", "dump" } });
     if (line.exit_)
         return static_cast<int>(*line.exit_);
     SettingsReader reader(line.configFile_, readFile(line.configFile_).value_or(""));
--- /dev/null
+++ b/UnitTests/Control/JobHistoryTest.cpp
@@ -0,0 +1,74 @@
+#include "Control/JobHistory.h"
+#include "Control/StateReport.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace Lagoonpick {
+
+namespace {
+
+const std::vector<std::string> log {
+    R"({"at_ms":9000,"process":"agent-1","event":"target_lost","target":"t"})",
+    R"(   12.3 entry-1 {"at_ms":10000,"process":"entry-1","event":"job_accepted","job":"a1","tasks":2})",
+    R"({"at_ms":10300,"process":"agent-1","event":"run_ended","task":"a1.0.0.0","end":"done"})",
+    R"({"at_ms":10400,"process":"agent-1","event":"run_ended","task":"a12.0.0.0","end":"done"})",
+    R"({"at_ms":10100,"process":"agent-2","event":"target_lost","target":"u"})",
+    R"({"at_ms":4000,"process":"agent-1","event":"store_lost"})",
+    R"({"at_ms":10350,"process":"entry-1","event":"job_answered","job":"a1","verdict":"done"})",
+    R"({"at_ms":"soon","process":"entry-1","event":"job_answered","job":"a1"})",
+    "{",
+    "no log line",
+};
+
+} // namespace
+
+TEST_CASE("A job's history holds its own lines and what its processes learnt meanwhile, by time")
+{
+    JobHistory history("a1");
+    for (const auto& line : log)
+        history.add(line);
+    std::vector<std::string> events;
+    for (const auto& line : history.lines())
+        events.push_back(line.process_ + " " + line.event_);
+    CHECK(events == std::vector<std::string> { "agent-1 target_lost", "entry-1 job_accepted", "agent-1 run_ended", "entry-1 job_answered" });
+    CHECK(history.unreadable() == 2);
+    auto table = writeHistoryTable(history);
+    CHECK(table.find("last word: job_answered by entry-1: job=a1 verdict=done") != std::string::npos);
+    CHECK(boost::json::parse(writeHistoryJson(history)).as_array().size() == 4);
+}
+
+TEST_CASE("A history without an answer says where to look")
+{
+    auto [lines, part] = GENERATE(table<std::size_t, std::string>({ { 1, "no entry took it" }, { 2, "never answered" } }));
+    JobHistory history("a1");
+    for (std::size_t i = 0; i < lines; ++i)
+        history.add(log[i]);
+    CHECK(writeHistoryTable(history).find(part) != std::string::npos);
+}
+
+TEST_CASE("No line breaks a history")
+{
+    rc::prop("any text", [](const std::string& text) {
+        JobHistory history("a1");
+        history.add(text);
+        history.add("{" + text);
+        RC_ASSERT(history.lines().empty());
+    });
+}
+
+TEST_CASE("The states of all kinds of process are shown in one table")
+{
+    const std::vector<ProcessState> states {
+        { "10.0.0.1:1", R"({"role":"entry","name":"e","incarnation":"i","registered":true,"tasks_pending":3,"tasks_outstanding":4})" },
+        { "10.0.0.2:1", R"({"entry":"entry-1","ready":true,"configuration":7,"jobs":5,"agents":[{"linked":true,"open":true,"suspect":false,"runs":2},{"linked":true,"open":false,"suspect":true,"runs":0}]})" },
+        { "10.0.0.3:1", R"({"agent":"agent-1","target":"t","born_ms":1,"draining":true,"runs":6,"configuration":7})" },
+        { "10.0.0.4:1", "" },
+    };
+    auto table = writeStatus(states);
+    for (const auto* part : { "entry-1", "1 of 2 targets open", "agent-1", "draining", "no answer", "serving" })
+        CHECK(table.find(part) != std::string::npos);
+}
+
+} // namespace Lagoonpick
