--- a/ContractTests/Support/Caller.cpp
+++ b/ContractTests/Support/Caller.cpp
@@ -46,31 +46,58 @@
     return item.is_string() ? std::string(item.get_string()) : boost::json::serialize(item);
 }
 
-CallerAnswer call(const std::string& address, const std::string& method, const std::string& path, const std::string& body, int seconds)
+struct Connection::State {
+    asio::io_context context_;
+    beast::tcp_stream stream_ { context_ };
+    beast::flat_buffer buffer_;
+};
+
+Connection::Connection(std::string address)
+    : address_(std::move(address))
 {
-    asio::io_context context;
-    beast::tcp_stream stream(context);
+}
+
+Connection::~Connection() = default;
+
+bool Connection::isOpen() const
+{
+    return state_ != nullptr;
+}
+
+CallerAnswer Connection::call(const std::string& method, const std::string& path, const std::string& body, int seconds)
+{
+    std::unique_ptr<State> state = std::move(state_);
+    bool mustConnect = !state;
+    if (mustConnect)
+        state = std::make_unique<State>();
+    beast::tcp_stream& stream = state->stream_;
     stream.expires_after(std::chrono::seconds(seconds));
-    if (runOne(context, [&](auto done) { stream.async_connect(toEndpoint(address), done); }))
+    if (mustConnect && runOne(state->context_, [&](auto done) { stream.async_connect(toEndpoint(address_), done); }))
         return {};
     http::request<http::string_body> request;
     request.method_string(method);
     request.target(path);
     request.version(httpVersion);
-    request.set(http::field::host, address);
+    request.set(http::field::host, address_);
     request.body() = body;
     request.prepare_payload();
-    if (runOne(context, [&](auto done) { http::async_write(stream, request, done); }))
+    if (runOne(state->context_, [&](auto done) { http::async_write(stream, request, done); }))
         return {};
-    beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxBody);
-    if (runOne(context, [&](auto done) { http::async_read(stream, buffer, parser, done); }))
+    if (runOne(state->context_, [&](auto done) { http::async_read(stream, state->buffer_, parser, done); }))
         return {};
     const auto& response = parser.get();
+    if (response.keep_alive())
+        state_ = std::move(state);
     return { response.result_int(), std::string(response[http::field::content_type]), std::string(response[http::field::retry_after]), response.body() };
 }
 
+CallerAnswer call(const std::string& address, const std::string& method, const std::string& path, const std::string& body, int seconds)
+{
+    return Connection(address).call(method, path, body, seconds);
+}
+
 std::string callRaw(const std::string& address, const std::string& bytes, int seconds)
 {
     asio::io_context context;
--- a/ContractTests/Support/Caller.h
+++ b/ContractTests/Support/Caller.h
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace Lagoonpick::Contract {
@@ -18,6 +19,26 @@
     std::string member(std::string_view name) const;
 };
 
+/// A connection that a caller goes on using until the other side closes it.
+class Connection {
+public:
+    explicit Connection(std::string address);
+    ~Connection();
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    /// Sends one HTTP request and waits for its response, up to `seconds`. Connects first if it is not connected.
+    CallerAnswer call(const std::string& method, const std::string& path, const std::string& body = {}, int seconds = 30);
+
+    /// False before the first call, and once the other side has closed or a call has got no response.
+    bool isOpen() const;
+
+private:
+    struct State;
+    std::string address_;
+    std::unique_ptr<State> state_;
+};
+
 /// Sends one HTTP request and waits for its response, up to `seconds`.
 CallerAnswer call(const std::string& address, const std::string& method, const std::string& path, const std::string& body = {}, int seconds = 30);
 
--- a/Soak/RunsSoak.cpp
+++ b/Soak/RunsSoak.cpp
@@ -30,16 +30,43 @@
     return text ? std::atoi(text) : otherwise;
 }
 
+/// Callers' connections to an entry: some are used as long as it keeps them open, others for one request.
+class Caller {
+public:
+    Caller(const SoakSystem& system, std::uint64_t seed)
+        : system_(system)
+        , random_(seed)
+        , keepsConnections_(seed % 2)
+    {
+    }
+
+    Contract::CallerAnswer submit(const std::string& id, const std::string& body)
+    {
+        if (!keepsConnections_ || !connection_ || !connection_->isOpen())
+            connection_ = std::make_unique<Contract::Connection>(system_.front(random_() % system_.entryCount()));
+        return connection_->call("POST", "/queue/" + id, body, patienceSeconds);
+    }
+
+private:
+    static constexpr int patienceSeconds = 3;
+
+    const SoakSystem& system_;
+    std::mt19937_64 random_;
+    bool keepsConnections_;
+    std::unique_ptr<Contract::Connection> connection_;
+};
+
 /// Sends jobs until told to stop; each again, elsewhere, as long as it has no final answer.
 void submitJobs(const SoakSystem& system, CallerRecord& record, std::uint64_t seed, const std::atomic<bool>& isOver)
 {
     std::mt19937_64 random(seed);
+    Caller caller(system, seed);
     while (!isOver) {
         std::string id = fmt::format("{:016x}", random());
         auto tasks = static_cast<std::uint32_t>(1 + random() % 5);
         auto body = fmt::format(R"({{"spec":"work_ms={} cpu=1000","steps":[{{"count":{},"cpu":1000,"mem_mb":1,"estimate_ms":100}}],"best_effort":true}})", 20 + random() % 200, tasks);
         for (int attempt = 0; attempt < maxAttempts; ++attempt) {
-            auto answer = Contract::call(system.front(random() % system.entryCount()), "POST", "/queue/" + id, body, 3);
+            auto answer = caller.submit(id, body);
             record.note(id, tasks, answer.status_, answer.member("state"));
             bool isFinal = answer.status_ && answer.status_ != 502 && answer.status_ != 504;
             if (isFinal)
@@ -81,10 +108,12 @@
     void act()
     {
         using Action = std::pair<const char*, void (Troublemaker::*)()>;
-        constexpr std::array<Action, 6> entryActions { { { "entry-kill", &Troublemaker::killEntry }, { "entry-freeze", &Troublemaker::freezeEntry }, { "entry-term", &Troublemaker::shutDownEntry },
-            { "link-silence", &Troublemaker::silenceLink }, { "store", &Troublemaker::troubleStore }, { "configure", &Troublemaker::configure } } };
-        constexpr std::array<Action, 6> agentActions { { { "agent-kill", &Troublemaker::killAgent }, { "agent-freeze", &Troublemaker::freezeAgent }, { "agent-term", &Troublemaker::shutDownAgent },
-            { "target-silence", &Troublemaker::silenceTarget }, { "target", &Troublemaker::troubleTarget }, { "link-cut", &Troublemaker::cutLink } } };
+        constexpr std::array<Action, 8> entryActions { { { "entry-kill", &Troublemaker::killEntry }, { "entry-freeze", &Troublemaker::freezeEntry }, { "entry-term", &Troublemaker::shutDownEntry },
+            { "link-silence", &Troublemaker::silenceLink }, { "store", &Troublemaker::troubleStore }, { "configure", &Troublemaker::configure },
+            { "entry-term-freeze", &Troublemaker::freezeEntryAtShutdown }, { "entry-hups", &Troublemaker::reloadEntry } } };
+        constexpr std::array<Action, 8> agentActions { { { "agent-kill", &Troublemaker::killAgent }, { "agent-freeze", &Troublemaker::freezeAgent }, { "agent-term", &Troublemaker::shutDownAgent },
+            { "target-silence", &Troublemaker::silenceTarget }, { "target", &Troublemaker::troubleTarget }, { "link-cut", &Troublemaker::cutLink },
+            { "agent-term-kill", &Troublemaker::killAgentAtShutdown }, { "agent-hups", &Troublemaker::reloadAgent } } };
         const auto& actions = side_ == Side::EntriesAndStore ? entryActions : agentActions;
         auto [name, action] = actions[random_() % actions.size()];
         trace_ += std::string(name) + " ";
@@ -103,9 +132,10 @@
         system_.startEntry(victim);
     }
 
-    void killAgent()
+    void killAgent() { killAgent(agent()); }
+
+    void killAgent(std::size_t victim)
     {
-        auto victim = agent();
         system_.killAgent(victim);
         pause(20, 800);
         system_.startAgent(victim);
@@ -146,6 +176,45 @@
         system_.startAgent(victim);
     }
 
+    /// Told to shut down, and frozen for a part of the time that it has for it.
+    void freezeEntryAtShutdown()
+    {
+        auto victim = entry();
+        system_.signalEntry(victim, SIGTERM);
+        pause(20, 1000);
+        system_.signalEntry(victim, SIGSTOP);
+        pause(50, 800);
+        system_.signalEntry(victim, SIGCONT);
+        system_.signalEntry(victim, SIGTERM);
+        if (!system_.waitForEntry(victim, graceSeconds))
+            breaks_.push_back("an entry that was frozen did not shut down in time");
+        system_.startEntry(victim);
+    }
+
+    /// Told to shut down, and killed before it has.
+    void killAgentAtShutdown()
+    {
+        auto victim = agent();
+        system_.signalAgent(victim, SIGTERM);
+        pause(5, 300);
+        killAgent(victim);
+    }
+
+    /// Reloads in a row, with a dump of the state between them.
+    void reloadEntry()
+    {
+        auto victim = entry();
+        for (int number : { SIGHUP, SIGUSR1, SIGHUP, SIGHUP })
+            system_.signalEntry(victim, number);
+    }
+
+    void reloadAgent()
+    {
+        auto victim = agent();
+        for (int number : { SIGHUP, SIGUSR1, SIGHUP, SIGHUP })
+            system_.signalAgent(victim, number);
+    }
+
     void silenceLink() { silence(system_.linkRelay(entry()), static_cast<int>(random_() % 1500)); }
     void silenceTarget() { silence(system_.targetRelay(agent()), static_cast<int>(random_() % 1500)); }
     void cutLink() { system_.linkRelay(entry()).cut(); }
@@ -193,6 +262,15 @@
     std::string trace_;
 };
 
+void keepLogs(const SoakSystem& system, const std::string& folder)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    std::filesystem::copy(system.logs(), folder, std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing, error);
+    if (error)
+        std::cout << "  the logs could not be kept: " << error.message() << std::endl;
+}
+
 /// Plays one seed; returns what broke.
 std::vector<std::string> play(std::uint64_t seed, SoakSize size, std::chrono::seconds span)
 {
@@ -224,8 +302,10 @@
     if (!isReady || record.doneCount() <= doneBefore)
         breaks.push_back("it does not serve after the troubles");
     std::cout << "seed " << seed << ": " << record.jobs().size() << " jobs, " << record.doneCount() << " done, " << breaks.size() << " broken promises; troubles " << first.trace() << "| " << second.trace() << std::endl;
+    for (const auto& text : breaks)
+        std::cout << "  " << text << std::endl;
     if (!breaks.empty() && std::getenv("SOAK_KEEP_LOGS"))
-        std::filesystem::copy(system.logs(), fmt::format("{}/seed-{}", std::getenv("SOAK_KEEP_LOGS"), seed), std::filesystem::copy_options::recursive);
+        keepLogs(system, fmt::format("{}/seed-{}", std::getenv("SOAK_KEEP_LOGS"), seed));
     return breaks;
 }
 
