Soak: a process that SIGTERM meets before it has set up its handling of signals may end by the signal

Trace: no life of any agent has 'stopping' without 'stopped'; after 'started' a SIGTERM always logs 'stopping'; an agent that is sent SIGTERM at once after its start ends with status 143 and no line (5 ms later: status 0). Nothing has been taken or begun by then. The check now asks for status 0, or for 143 and no 'started' in that life, and prints any other status.

--- a/Soak/SoakSystem.cpp
+++ b/Soak/SoakSystem.cpp
@@ -1,8 +1,11 @@
 #include "Soak/SoakSystem.h"
 
 #include "ContractTests/Support/Caller.h"
+#include "Lagoonpick/Configuration/CommandLine.h"
 
+#include <csignal>
 #include <fmt/format.h>
+#include <iostream>
 
 namespace Lagoonpick::Soak {
 
@@ -65,7 +68,9 @@
                             "advertised_link_address = {}\nmetrics_address = {}\nseeds = -\n[store]\naddress = {}\n",
         i, entry.front_, entry.ready_, entry.link_, entry.relayAddress_, entry.metrics_, storeRelayAddress_);
     auto file = folder_.write(fmt::format("entry-{}.ini", i), text);
-    entry.process_ = std::make_unique<Process>(std::vector<std::string> { JOB_ENTRY_PROGRAM, "--config", file }, fmt::format("{}/entry-{}.log", folder_.path(), i));
+    entry.log_.file_ = fmt::format("{}/entry-{}.log", folder_.path(), i);
+    beginLife(entry.log_);
+    entry.process_ = std::make_unique<Process>(std::vector<std::string> { JOB_ENTRY_PROGRAM, "--config", file }, entry.log_.file_);
 }
 
 void SoakSystem::startAgent(std::size_t i)
@@ -75,7 +80,34 @@
                             "entry_link_address = 127.0.0.1:1\nseeds = -\n[target]\naddress = {}\n[store]\naddress = {}\n",
         i, agent.control_, agent.metrics_, agent.relayAddress_, storeRelayAddress_);
     auto file = folder_.write(fmt::format("agent-{}.ini", i), text);
-    agent.process_ = std::make_unique<Process>(std::vector<std::string> { RUN_AGENT_PROGRAM, "--config", file }, fmt::format("{}/agent-{}.log", folder_.path(), i));
+    agent.log_.file_ = fmt::format("{}/agent-{}.log", folder_.path(), i);
+    beginLife(agent.log_);
+    agent.process_ = std::make_unique<Process>(std::vector<std::string> { RUN_AGENT_PROGRAM, "--config", file }, agent.log_.file_);
+}
+
+void SoakSystem::beginLife(Log& log)
+{
+    log.lifeBegin_ = readFile(log.file_).value_or("").size();
+}
+
+bool SoakSystem::hasEndedWell(Process& process, const Log& log, int seconds)
+{
+    constexpr int endedBySigterm = 128 + SIGTERM;
+    int status = process.wait(seconds);
+    bool hasStarted = readFile(log.file_).value_or("").find("\"started\"", log.lifeBegin_) != std::string::npos;
+    if (status)
+        std::cout << "a process ended with status " << status << (hasStarted ? " after" : " before") << " it had started" << std::endl;
+    return !status || (status == endedBySigterm && !hasStarted);
+}
+
+bool SoakSystem::waitForEntry(std::size_t entry, int seconds)
+{
+    return hasEndedWell(*entries_[entry].process_, entries_[entry].log_, seconds);
+}
+
+bool SoakSystem::waitForAgent(std::size_t agent, int seconds)
+{
+    return hasEndedWell(*agents_[agent].process_, agents_[agent].log_, seconds);
 }
 
 void SoakSystem::killEntry(std::size_t entry)
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -45,9 +45,10 @@
     void startEntry(std::size_t entry);
     void killAgent(std::size_t agent);
     void startAgent(std::size_t agent);
-    /// Waits for a process that was told to shut down; false if it did not end in time.
-    bool waitForEntry(std::size_t entry, int seconds) { return entries_[entry].process_->wait(seconds) == 0; }
-    bool waitForAgent(std::size_t agent, int seconds) { return agents_[agent].process_->wait(seconds) == 0; }
+    /// Waits for a process that was told to shut down; false if it did not end in time, or not by itself. One that SIGTERM
+    /// met before the program had set up its handling of signals, so before it had done anything, may end by the signal.
+    bool waitForEntry(std::size_t entry, int seconds);
+    bool waitForAgent(std::size_t agent, int seconds);
 
     Contract::Relay& linkRelay(std::size_t entry) { return *entries_[entry].relay_; }
     Contract::Relay& targetRelay(std::size_t agent) { return *agents_[agent].relay_; }
@@ -56,7 +57,17 @@
     const std::string& target(std::size_t agent) const { return agents_[agent].targetAddress_; }
 
 private:
+    /// The log of one process, and where its present life begins in it.
+    struct Log {
+        std::string file_;
+        std::size_t lifeBegin_ { 0 };
+    };
+
+    static void beginLife(Log& log);
+    static bool hasEndedWell(Contract::Process& process, const Log& log, int seconds);
+
     struct Entry {
+        Log log_;
         std::string front_;
         std::string ready_;
         std::string link_;
@@ -67,6 +78,7 @@
     };
 
     struct Agent {
+        Log log_;
         std::string control_;
         std::string metrics_;
         std::string targetAddress_;
