--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -149,8 +149,10 @@
     plan.kinds_ = { { "short", 8, milliseconds(60), 5 }, { "middle", 2, milliseconds(200), 15 }, { "long", 4, milliseconds(900), 1 } };
     plan.targets_ = drawTargets(load, random);
     double places = 0;
-    for (const auto& target : plan.targets_)
-        places += target.speed_ * static_cast<double>(target.capacity_.milliCores_ / plan.need_.milliCores_);
+    for (const auto& target : plan.targets_) {
+        std::uint32_t tasks = target.capacity_.milliCores_ / plan.need_.milliCores_;
+        places += target.speed_ * tasks;
+    }
     double secondsOfWork = 0;
     for (const auto& kind : plan.kinds_)
         secondsOfWork += kind.share_ * kind.taskCount_ * std::chrono::duration<double>(kind.work_).count() * std::exp(jobSpread * jobSpread / 2);
