--- a/Soak/RunsProgramTest.cpp
+++ b/Soak/RunsProgramTest.cpp
@@ -124,12 +124,24 @@
 {
     SoakSystem system({ 1, 1 });
     REQUIRE(system.waitUntilReady(patienceSeconds));
-    Contract::call(system.front(0), "POST", "/queue/00000000000000e1", jobBody(5000), 1);
+    // Short enough to end while callers wait, so that nothing but the caller's leaving ends it.
+    Contract::call(system.front(0), "POST", "/queue/00000000000000e1", jobBody(1300), 1);
     std::this_thread::sleep_for(milliseconds(300));
     CHECK(readFile(system.logs() + "/entry-0.log").value_or("").find("job_abandoned") != std::string::npos);
     CHECK(readFile(system.recordFile()).value_or("").find("stopped") != std::string::npos);
 }
 
+TEST_CASE("A job that can't end before its caller leaves is answered at once and stopped", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    // Callers that don't say how long they wait are taken to wait 1.5 s.
+    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000e2", jobBody(8000), 1);
+    CHECK(answer.status_ == 504);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(readFile(system.recordFile()).value_or("").find("stopped") != std::string::npos);
+}
+
 TEST_CASE("Without the store, processes that run go on, and a new configuration is in force once it is back", "[RunsProgram]")
 {
     SoakSystem system({ 2, 1 });
