--- a/Lagoonpick/Core/Time.h
+++ b/Lagoonpick/Core/Time.h
@@ -14,6 +14,12 @@
 /// A point in time, in microseconds since the Unix epoch. It must not run backwards within a process.
 using Time = std::chrono::time_point<HostClock, Duration>;
 
+/// So many times a span of time, cut to whole microseconds.
+inline Duration scale(Duration span, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
 /// Whole milliseconds since the Unix epoch, as submission ids carry them.
 inline std::int64_t toUnixMilliseconds(Time time)
 {
--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -92,7 +92,7 @@
 
     HeldJob job { .request_ = request, .queue_ = *queues_.find(request.host_, request.path_), .callers_ = { caller }, .arrivedAt_ = now };
     job.work_ = workModel_.learn(job.queue_.name_, request.estimate_);
-    Duration objective = Duration(static_cast<Duration::rep>(job.queue_.slackFactor_ * static_cast<double>(job.work_.count()))) + job.queue_.allowance_;
+    Duration objective = scale(job.work_, job.queue_.slackFactor_) + job.queue_.allowance_;
     job.due_ = now + objective - settings_.overhead_;
     job.deadline_ = now + request.patience_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
--- a/Lagoonpick/Job/JobCoreLinks.cpp
+++ b/Lagoonpick/Job/JobCoreLinks.cpp
@@ -20,11 +20,6 @@
 /// Expected times are off by nearly half: a job is hopeless only if half of them would be too long.
 constexpr double leastOfExpected = 0.5;
 
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(factor * static_cast<double>(duration.count())));
-}
-
 } // namespace
 
 void JobCore::opened(LinkId link, Time)
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -48,7 +48,7 @@
     const std::string& rack = job.request_.rack_;
     if (rack.empty() || std::find(labels.begin(), labels.end(), rack) != labels.end())
         return job.work_;
-    return Duration(static_cast<Duration::rep>(settings_.remoteFactor_ * static_cast<double>(job.work_.count())));
+    return scale(job.work_, settings_.remoteFactor_);
 }
 
 /// Answers the load pattern of more jobs than there is room for: one that would end too late is rejected while its
@@ -83,7 +83,7 @@
         best->load_.unseen_ = best->load_.unseen_ + job.request_.need_;
         latest = std::max(latest, earliest);
     }
-    auto limit = Duration(static_cast<Duration::rep>(maxExpectedLateness * static_cast<double>((job.due_ - now).count())));
+    Duration limit = scale(job.due_ - now, maxExpectedLateness);
     if (latest > limit || now + latest > job.deadline_)
         return JobRefusal::Overloaded;
     return JobRefusal::None;
--- a/Lagoonpick/Job/TargetChoice.cpp
+++ b/Lagoonpick/Job/TargetChoice.cpp
@@ -20,7 +20,7 @@
 TargetOutlook expectOn(const TargetLoadView& target, const Wire::Resources& need, Duration work)
 {
     TargetOutlook outlook;
-    outlook.run_ = Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) * target.slowness_));
+    outlook.run_ = scale(work, target.slowness_);
     const Wire::Resources& capacity = target.capacity_;
     const Wire::Resources& committed = target.committed_;
     const Wire::Resources& unseen = target.unseen_;
@@ -31,7 +31,7 @@
     overflow = std::max(overflow, overflowShare(capacity.accelerators_, committed.accelerators_, unseen.accelerators_, need.accelerators_));
     // A full target turns over its whole capacity once in the time that a run takes there.
     Duration turnover = target.typicalTime_.count() ? target.typicalTime_ : outlook.run_;
-    outlook.wait_ = target.backlog_ + Duration(static_cast<Duration::rep>(overflow * static_cast<double>(turnover.count())));
+    outlook.wait_ = target.backlog_ + scale(turnover, overflow);
     return outlook;
 }
 
--- a/Lagoonpick/Run/Backlog.cpp
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -11,11 +11,6 @@
 /// A run that is over its expected time may end at any moment; it is given this share of that time again.
 constexpr double leastRemainingShare = 0.2;
 
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 /// How many tasks as large as those that are there fit beside each other.
 std::size_t countPlaces(const RunTable& runs, const Wire::Resources& capacity)
 {
--- a/Lagoonpick/Run/RunCore.h
+++ b/Lagoonpick/Run/RunCore.h
@@ -126,7 +126,8 @@
     void sendPulses(Time now);
     void sendReports(Time now);
     void markReportsDue();
-    Wire::TargetReport report(const EntrySession& session, Time now) const;
+    Wire::TargetReport report(Time now) const;
+    void sendReport(const EntrySession& session, Wire::TargetReport report);
     void send(LinkId link, Wire::RunMessage message);
     void raiseToken(Time now);
     void abort(LinkId link);
--- a/Lagoonpick/Run/RunCoreEntries.cpp
+++ b/Lagoonpick/Run/RunCoreEntries.cpp
@@ -163,7 +163,7 @@
     if (reason == NotStartedReason::None)
         return;
     // The entry chose by a report that is no longer right: it gets the news before it chooses again.
-    send(link, report(session, now));
+    sendReport(session, report(now));
     end(id, RunEnd::NotStarted, reason, now);
 }
 
@@ -235,27 +235,38 @@
 
 void RunCore::sendReports(Time now)
 {
+    std::optional<Wire::TargetReport> common;
     for (auto& [incarnation, session] : sessions_) {
         if (!session.link_ || !session.isReportDue_ || now < session.nextReport_)
             continue;
         session.isReportDue_ = false;
         session.nextReport_ = now + settings_.reportInterval_ * static_cast<Duration::rep>(1 + sessions_.size() / 4);
         session.nextPulse_ = now + settings_.pulseInterval_;
-        send(*session.link_, report(session, now));
+        if (!common)
+            common = report(now);
+        sendReport(session, *common);
     }
 }
 
+void RunCore::sendReport(const EntrySession& session, Wire::TargetReport report)
+{
+    report.seenRun_ = session.highestRun_;
+    send(*session.link_, std::move(report));
+}
+
 void RunCore::markReportsDue()
 {
     for (auto& [incarnation, session] : sessions_)
         session.isReportDue_ = true;
 }
 
-Wire::TargetReport RunCore::report(const EntrySession& session, Time now) const
+/// What all entries are told alike.
+Wire::TargetReport RunCore::report(Time now) const
 {
+    double slowness = this->slowness(now);
     constexpr double permille = 1000;
     const TargetHeartbeat& heartbeat = target_.heartbeat();
-    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(slowness(now) * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, slowness(now), now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .seenRun_ = session.highestRun_ };
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slownessPermille_ = static_cast<std::uint64_t>(slowness * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, slowness, now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()) };
 }
 
 void RunCore::send(LinkId link, Wire::RunMessage message)
--- a/Lagoonpick/Run/RunCoreLease.cpp
+++ b/Lagoonpick/Run/RunCoreLease.cpp
@@ -199,7 +199,7 @@
 {
     if (!hasLeaseAnswer_ || isLeaseLost_ || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
         return;
-    Duration drift(static_cast<Duration::rep>(static_cast<double>(settings_.times_.lease_.count()) * maxClockDrift));
+    Duration drift = scale(settings_.times_.lease_, maxClockDrift);
     if (now <= leaseEndsAt_ + drift + settings_.times_.stopTimeout_)
         return;
     isLeaseLost_ = true;
--- a/Lagoonpick/Run/RunProgress.cpp
+++ b/Lagoonpick/Run/RunProgress.cpp
@@ -61,7 +61,7 @@
     auto all = total();
     if (!all)
         return std::nullopt;
-    auto left = Duration(static_cast<Duration::rep>((whole - newest_.percent_) / whole * static_cast<double>(all->count())));
+    Duration left = scale(*all, (whole - newest_.percent_) / whole);
     return std::max<Duration>(left - (now - newest_.at_), Duration());
 }
 
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -168,7 +168,11 @@
     {
         auto self = shared_from_this();
         auto place = sessions_.insert(sessions_.end(), session);
-        while (co_await serveOne(session)) { }
+        bool goesOn = true;
+        while (goesOn) {
+            goesOn = co_await serveOne(session);
+            release(*session);
+        }
         beast::error_code ignored;
         session->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
         evictedCount_ -= session->isEvicted_ ? 1 : 0;
@@ -228,7 +232,6 @@
             std::tie(error, size) = co_await http::async_read(session.stream_, session.buffer_, parser, useTuple);
         }
         if (error || session.isEvicted_) {
-            release(session);
             if (isProtocolError(error))
                 co_await write(session, problemForReadError(error), false);
             co_return false;
@@ -238,10 +241,8 @@
         auto message = parser.release();
         bool keepAlive = message.keep_alive();
         // A process that stood still finds requests whose callers have gone elsewhere since.
-        if (hasEnded(session.stream_.socket())) {
-            release(session);
+        if (hasEnded(session.stream_.socket()))
             co_return false;
-        }
         HttpRequest request = toRequest(std::move(message));
         auto presence = request.presence_;
         watchPresence(shared, presence);
@@ -250,7 +251,6 @@
         keepAlive = keepAlive && !isStopping_ && !response.mustClose_;
         bool isWritten = !response.isDropped_ && co_await write(session, std::move(response), keepAlive);
         session.isBusy_ = false;
-        release(session);
         co_return isWritten&& keepAlive;
     }
 
--- a/StandIns/LeasedTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -38,7 +38,7 @@
 {
     std::vector<std::pair<RunName, RunEnd>> over;
     bool isLeaseOver = clock(now) > leaseUntil_;
-    auto progress = Duration(static_cast<Duration::rep>(speed_ * static_cast<double>((now - std::exchange(advancedAt_, now)).count())));
+    Duration progress = scale(now - std::exchange(advancedAt_, now), speed_);
     for (auto& [name, run] : running_) {
         if (!run.hangs_)
             run.left_ = std::max<Duration>(run.left_ - progress, Duration());
--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -24,11 +24,6 @@
 constexpr double jobSpread = 0.3;
 constexpr double estimateSpread = 0.4;
 
-Duration scale(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 bool isDuring(const LoadPhase& phase, Duration time)
 {
     return phase.from_ <= time && time < phase.until_;
