The two hosts share link events, settings watch, gap, store timeout and the metrics of log and store

They stood twice, alike in shape (RunLinks.h, SettingsWatch.h, ProcessMetrics). Gone: an exit code that never changed, a start time that nobody read. Metrics: lagoonpick_runs_moved_total had no HELP and TYPE lines and now has; agents count failed store calls as entries did.

--- a/Control/JobHistory.h
+++ b/Control/JobHistory.h
@@ -9,7 +9,7 @@
 
 /// One line of a process's log, as far as it matters to a job.
 struct HistoryLine {
-    /// By the clock of the process's own machine.
+    /// By the clock of the process's own instance.
     std::int64_t atMilliseconds_ { 0 };
     std::string process_;
     std::string event_;
--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -1,8 +1,7 @@
 #include "JobEntry/JobEntryHost.h"
 
-#include "Lagoonpick/Configuration/LoadSettings.h"
 #include "Lagoonpick/Core/Underlying.h"
-#include "Lagoonpick/Transport/RunLinkLimits.h"
+#include "Lagoonpick/Transport/RunLinks.h"
 #include "platform/ConfigurationCodec.h"
 
 #include <fmt/format.h>
@@ -11,12 +10,7 @@
 
 namespace {
 
-/// A process that stood still for so long may act on news that is too old. Less than the time after which agents stop
-/// the entry's runs.
-constexpr Duration maxGap = std::chrono::milliseconds(400);
 constexpr std::size_t maxLogBytes = 131'072;
-constexpr Duration storeTimeout = std::chrono::milliseconds(700);
-constexpr Duration reloadCheckInterval = std::chrono::seconds(1);
 /// Descriptors that links, the store and files need besides callers' connections.
 constexpr std::uint32_t reservedDescriptors = 600;
 /// An eighth of an entry's memory: a body is also parsed and kept with its job.
@@ -46,18 +40,13 @@
 JobEntryHost::JobEntryHost(boost::asio::io_context& context, JobEntrySettings settings, std::string settingsFile, std::uint64_t seed)
     : context_(context)
     , settings_(std::move(settings))
-    , settingsFile_(std::move(settingsFile))
-    , gaps_(maxGap)
+    , settingsFile_(std::move(settingsFile), readJobEntrySettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); })
+    , gaps_(maxRunGap)
     , log_(settings_.job_.name_, maxLogBytes)
     , core_(settings_.job_, seed)
     , links_(context, runLinkLimits(),
-          { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
-              [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
-                  Time now = enter();
-                  for (const auto& message : messages)
-                      core_.receive(link, message, now);
-                  loop_.schedule();
-              } },
+          runLinkEvents(
+              core_, [this] { return enter(); }, [this] { loop_.schedule(); }),
           seed + 1)
     , front_(context, frontLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
     , ready_(context, serviceLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
@@ -67,7 +56,7 @@
             respond(UsersPlatform::encodeNoSuchJob());
     })
     , metrics_(context, serviceLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
-    , store_(context, settings_.storeAddress_, storeTimeout)
+    , store_(context, settings_.storeAddress_)
     , configuration_(context, store_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this] { core_.confirmConfiguration(enter()); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
@@ -76,8 +65,7 @@
 
 std::string JobEntryHost::start()
 {
-    startedAt_ = enter();
-    settingsText_ = readFile(settingsFile_).value_or("");
+    enter();
     log(LogLine("started").text("availability_zone", settings_.job_.availabilityZone_).text("incarnation", settings_.job_.incarnation_.toString()));
     auto fault = links_.listen(settings_.linkListenAddress_);
     if (fault.empty())
@@ -184,10 +172,8 @@
     core_.tick(now);
     applyEffects();
     announceToSeeds();
-    if (now >= nextReloadCheck_) {
-        nextReloadCheck_ = now + reloadCheckInterval;
+    if (settingsFile_.isDue(now))
         reload();
-    }
     if (shutdownAt_)
         continueShutdown(now);
     log_.flush();
@@ -230,11 +216,7 @@
 
 void JobEntryHost::reload()
 {
-    auto text = readFile(settingsFile_);
-    if (!text || *text == settingsText_)
-        return;
-    settingsText_ = *text;
-    auto settings = readSettingsFile(settingsFile_, readJobEntrySettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); });
+    auto settings = settingsFile_.readChanged();
     if (!settings)
         return;
     // Addresses and times hold for the life of the process; only where to find others can change within it.
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -3,7 +3,7 @@
 #include "JobEntry/ConfigurationWatch.h"
 #include "JobEntry/EntryRegistration.h"
 #include "JobEntry/JobEntrySettings.h"
-#include "Lagoonpick/Configuration/CommandLine.h"
+#include "Lagoonpick/Configuration/SettingsWatch.h"
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Job/JobCore.h"
 #include "Lagoonpick/Transport/GapDetector.h"
@@ -25,8 +25,6 @@
     /// Starts everything; returns what went wrong, or nothing.
     std::string start();
 
-    ExitCode exitCode() const { return exitCode_; }
-
 private:
     /// Every input goes through here first: what time it is, and whether the process stood still before it.
     Time enter();
@@ -52,8 +50,7 @@
 
     boost::asio::io_context& context_;
     JobEntrySettings settings_;
-    std::string settingsFile_;
-    std::string settingsText_;
+    SettingsWatch<decltype(&readJobEntrySettings)> settingsFile_;
     BootTime clock_;
     GapDetector gaps_;
     EventLog log_;
@@ -68,10 +65,7 @@
     HostLoop loop_;
     std::unordered_map<std::uint64_t, HttpServer::Respond> callers_;
     std::uint64_t lastCaller_ { 0 };
-    Time startedAt_;
-    Time nextReloadCheck_;
     std::optional<Time> shutdownAt_;
-    ExitCode exitCode_ { ExitCode::Success };
 };
 
 /// The entry's counters and histograms, in the Prometheus text format.
--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -1,4 +1,5 @@
 #include "JobEntry/JobEntryHost.h"
+#include "Lagoonpick/Observability/ProcessMetrics.h"
 
 namespace Lagoonpick {
 
@@ -17,6 +18,7 @@
     writeMetricHead(text, "lagoonpick_runs_total", "counter", "Runs that agents were asked for.");
     writeMetric(text, "lagoonpick_runs_total", "kind=\"first\"", static_cast<double>(counters.runs_ - counters.repeatedRuns_));
     writeMetric(text, "lagoonpick_runs_total", "kind=\"repeated\"", static_cast<double>(counters.repeatedRuns_));
+    writeMetricHead(text, "lagoonpick_runs_moved_total", "counter", "Runs that were stopped on a slow target to be started elsewhere.");
     writeMetric(text, "lagoonpick_runs_moved_total", "", static_cast<double>(counters.movedRuns_));
     writeMetricHead(text, "lagoonpick_jobs_held", "gauge", "Jobs that wait for their answer.");
     writeMetric(text, "lagoonpick_jobs_held", "", static_cast<double>(core.jobCount()));
@@ -24,12 +26,7 @@
     writeMetric(text, "lagoonpick_configuration_version", "", static_cast<double>(core.configurationVersion()));
     writeMetricHead(text, "lagoonpick_agents", "gauge", "Agents with a link.");
     writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.agents().size()));
-    writeMetricHead(text, "lagoonpick_store_calls_total", "counter", "Calls to the platform's store.");
-    writeMetric(text, "lagoonpick_store_calls_total", "", static_cast<double>(store.calls()));
-    writeMetricHead(text, "lagoonpick_store_failures_total", "counter", "Calls to the platform's store that failed.");
-    writeMetric(text, "lagoonpick_store_failures_total", "", static_cast<double>(store.failures()));
-    writeMetricHead(text, "lagoonpick_log_lines_dropped_total", "counter", "Log lines that did not fit the buffer.");
-    writeMetric(text, "lagoonpick_log_lines_dropped_total", "", static_cast<double>(log.linesDropped()));
+    writeProcessMetrics(text, log, store.calls(), store.failures());
     core.jobTimes().write(text, "lagoonpick_job_seconds", "From a job's arrival to its answer, done or failed.");
     return text;
 }
--- a/Lagoonpick/Core/BootTime.h
+++ b/Lagoonpick/Core/BootTime.h
@@ -6,7 +6,7 @@
 
 namespace Lagoonpick {
 
-/// Gives the time for daemons that must notice when their machine was suspended: the wall clock as it was at start,
+/// Gives the time for daemons that must notice when their instance was suspended: the wall clock as it was at start,
 /// moved on by the boot-time clock, which counts suspensions and never runs backwards.
 class BootTime {
 public:
--- a/Lagoonpick/Run/RunTimes.cpp
+++ b/Lagoonpick/Run/RunTimes.cpp
@@ -6,7 +6,7 @@
 
 RunTimes RunTimes::derive(Duration maxLease, Duration stopTimeout, Duration resendInterval)
 {
-    // How much slower than this machine's a target's clock may run, in percent.
+    // How much slower than this instance's a target's clock may run, in percent.
     constexpr Duration::rep maxClockDriftPercent = 2;
     constexpr Duration::rep percent = 100;
     // For timers that fire late and messages that are under way.
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -1,7 +1,6 @@
 #include "RunAgent/RunAgentHost.h"
 
-#include "Lagoonpick/Configuration/LoadSettings.h"
-#include "Lagoonpick/Transport/RunLinkLimits.h"
+#include "Lagoonpick/Transport/RunLinks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,12 +10,7 @@
 
 namespace {
 
-/// A process that stood still for so long may act on news that is too old. Less than the time after which the runs of a
-/// silent entry are stopped.
-constexpr Duration maxGap = std::chrono::milliseconds(400);
 constexpr std::size_t maxLogBytes = 65'536;
-constexpr Duration storeTimeout = std::chrono::milliseconds(700);
-constexpr Duration reloadCheckInterval = std::chrono::seconds(1);
 /// Longer than the pauses between a target's starts, so that connections are not opened anew for each.
 constexpr Duration maxTargetIdle = std::chrono::seconds(10);
 /// A start takes a few milliseconds; one that takes so long was not taken, or its answer was lost.
@@ -39,23 +33,18 @@
 RunAgentHost::RunAgentHost(boost::asio::io_context& context, RunAgentSettings settings, std::string settingsFile, std::uint64_t seed)
     : context_(context)
     , settings_(std::move(settings))
-    , settingsFile_(std::move(settingsFile))
-    , gaps_(maxGap)
+    , settingsFile_(std::move(settingsFile), readRunAgentSettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); })
+    , gaps_(maxRunGap)
     , log_(settings_.run_.name_, maxLogBytes)
     , core_(settings_.run_)
     , links_(context, runLinkLimits(),
-          { [this](LinkId link) { core_.opened(link, enter()); loop_.schedule(); }, [this](LinkId link) { core_.closed(link, enter()); loop_.schedule(); },
-              [this](LinkId link, const std::vector<Wire::RunMessage>& messages) {
-                  Time now = enter();
-                  for (const auto& message : messages)
-                      core_.receive(link, message, now);
-                  loop_.schedule();
-              } },
+          runLinkEvents(
+              core_, [this] { return enter(); }, [this] { loop_.schedule(); }),
           seed)
     , control_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleControl(request, respond); })
     , metrics_(context, controlLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdle)
-    , store_(context, settings_.storeAddress_, storeTimeout)
+    , store_(context, settings_.storeAddress_)
     , entries_(
           context, store_, clock_, [this] { wantEntries(); }, [this](bool isReached) { log(LogLine(isReached ? "store_regained" : "store_lost")); })
     , targetKeeper_(context, store_, settings_.run_.name_)
@@ -66,7 +55,6 @@
 std::string RunAgentHost::start()
 {
     enter();
-    settingsText_ = readFile(settingsFile_).value_or("");
     log(LogLine("started").text("availability_zone", settings_.run_.availabilityZone_).text("incarnation", settings_.run_.incarnation_.toString()).number("fencing_token", settings_.run_.fencingToken_));
     auto fault = control_.listen(settings_.controlAddress_);
     if (fault.empty())
@@ -176,10 +164,8 @@
     Time now = enter();
     core_.tick(now);
     applyEffects();
-    if (now >= nextReloadCheck_) {
-        nextReloadCheck_ = now + reloadCheckInterval;
+    if (settingsFile_.isDue(now))
         reload();
-    }
     if (shutdownAt_)
         continueShutdown(now);
     log_.flush();
@@ -216,11 +202,7 @@
 void RunAgentHost::reload()
 {
     wantEntries();
-    auto text = readFile(settingsFile_);
-    if (!text || *text == settingsText_)
-        return;
-    settingsText_ = *text;
-    auto settings = readSettingsFile(settingsFile_, readRunAgentSettings, [this](const std::string& fault) { log(LogLine("settings_faulty").text("fault", fault)); });
+    auto settings = settingsFile_.readChanged();
     if (!settings)
         return;
     // Addresses and times hold for the life of the process; only where to find entries can change within it.
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Lagoonpick/Configuration/CommandLine.h"
+#include "Lagoonpick/Configuration/SettingsWatch.h"
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
@@ -27,8 +27,6 @@
     /// Starts everything; returns what went wrong, or nothing.
     std::string start();
 
-    ExitCode exitCode() const { return exitCode_; }
-
 private:
     /// Every input goes through here first: what time it is, and whether the process stood still before it.
     Time enter();
@@ -49,8 +47,7 @@
 
     boost::asio::io_context& context_;
     RunAgentSettings settings_;
-    std::string settingsFile_;
-    std::string settingsText_;
+    SettingsWatch<decltype(&readRunAgentSettings)> settingsFile_;
     BootTime clock_;
     GapDetector gaps_;
     EventLog log_;
@@ -64,9 +61,7 @@
     TargetKeeper targetKeeper_;
     HostLoop loop_;
     TimeHistogram startTimes_;
-    Time nextReloadCheck_;
     std::optional<Time> shutdownAt_;
-    ExitCode exitCode_ { ExitCode::Success };
 };
 
 /// The agent's counters and histograms, in the Prometheus text format.
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonpick/Observability/ProcessMetrics.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
 #include "RunAgent/RunAgentHost.h"
 
@@ -23,10 +24,7 @@
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
     writeMetricHead(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
-    writeMetricHead(text, "lagoonpick_store_calls_total", "counter", "Calls to the platform's store.");
-    writeMetric(text, "lagoonpick_store_calls_total", "", static_cast<double>(store.calls()));
-    writeMetricHead(text, "lagoonpick_log_lines_dropped_total", "counter", "Log lines that did not fit the buffer.");
-    writeMetric(text, "lagoonpick_log_lines_dropped_total", "", static_cast<double>(log.linesDropped()));
+    writeProcessMetrics(text, log, store.calls(), store.failures());
     startTimes.write(text, "lagoonpick_start_seconds", "From a start's sending to the target's answer.");
     return text;
 }
--- a/RunAgent/main.cpp
+++ b/RunAgent/main.cpp
@@ -29,5 +29,5 @@
     if (!host.start().empty())
         return static_cast<int>(ExitCode::Unavailable);
     context.run();
-    return static_cast<int>(host.exitCode());
+    return static_cast<int>(ExitCode::Success);
 }
