Tools, tests and stand-ins: one row writer, one JSON text, one reader of environment numbers, one main for stand-ins

lagoonpick-ctl formatted the same row in four places and had two textOf(); tests read numbers from the environment with four functions; the three stand-ins' programs parsed help and waited for signals alike; callers that leave early had a second copy of the way they leave.

--- a/Control/JobHistory.cpp
+++ b/Control/JobHistory.cpp
@@ -1,8 +1,9 @@
 #include "Control/JobHistory.h"
 
+#include "Control/JsonText.h"
+
 #include <algorithm>
 #include <array>
-#include <boost/json.hpp>
 #include <fmt/format.h>
 #include <optional>
 #include <set>
@@ -27,13 +28,6 @@
     return std::find(beliefEvents.begin(), beliefEvents.end(), event) != beliefEvents.end();
 }
 
-std::string textOf(const json::value& value)
-{
-    if (value.is_double())
-        return fmt::format("{}", value.get_double());
-    return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
-}
-
 /// A task's name begins with its job's id and a dot.
 bool namesJob(const json::object& line, std::string_view job)
 {
--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -1,7 +1,8 @@
 #include "Control/StateReport.h"
 
+#include "Control/JsonText.h"
+
 #include <algorithm>
-#include <boost/json.hpp>
 #include <fmt/format.h>
 
 namespace Lagoonpick {
@@ -10,12 +11,23 @@
 
 namespace {
 
-std::string textOf(const json::object& object, std::string_view member)
+/// One line of the table of processes.
+struct StatusRow {
+    std::string address_;
+    std::string role_;
+    std::string name_;
+    std::string incarnation_;
+    std::string condition_;
+    std::string waiting_;
+    std::string running_;
+    /// What does not fit the columns.
+    std::string remark_;
+};
+
+std::string writeRow(const StatusRow& row)
 {
-    const auto* value = object.if_contains(member);
-    if (!value)
-        return "-";
-    return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+    auto text = fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}", row.address_, row.role_, row.name_, row.incarnation_, row.condition_, row.waiting_, row.running_);
+    return text + (row.remark_.empty() ? "" : "  " + row.remark_) + "\n";
 }
 
 std::string conditionOf(const json::object& object)
@@ -44,14 +56,13 @@
     const json::array& agents = member && member->is_array() ? member->get_array() : none;
     auto open = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "linked") && isTrue(row, "open"); });
     auto suspect = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "suspect"); });
-    return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}  {} of {} targets open, {} suspect\n", address, "entry", textOf(object, "entry"),
-        "configuration " + textOf(object, "configuration"), textOf(object, "ready") == "true" ? "serving" : "not ready", "-", textOf(object, "jobs"), open, agents.size(), suspect);
+    return writeRow({ address, "entry", textOf(object, "entry"), "configuration " + textOf(object, "configuration"), textOf(object, "ready") == "true" ? "serving" : "not ready", "-", textOf(object, "jobs"),
+        fmt::format("{} of {} targets open, {} suspect", open, agents.size(), suspect) });
 }
 
 std::string lineOfRunAgent(const std::string& address, const json::object& object)
 {
-    return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}  target {}\n", address, "agent", textOf(object, "agent"),
-        "configuration " + textOf(object, "configuration"), textOf(object, "draining") == "true" ? "draining" : "serving", "-", textOf(object, "runs"), textOf(object, "target"));
+    return writeRow({ address, "agent", textOf(object, "agent"), "configuration " + textOf(object, "configuration"), conditionOf(object), "-", textOf(object, "runs"), "target " + textOf(object, "target") });
 }
 
 std::string lineOf(const ProcessState& state)
@@ -66,9 +77,8 @@
     if (object.contains("agent"))
         return lineOfRunAgent(state.address_, object);
     bool isEntry = textOf(object, "role") == "entry";
-    return fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}\n", state.address_, textOf(object, "role"),
-        textOf(object, isEntry ? "name" : "target"), textOf(object, "incarnation"), conditionOf(object),
-        textOf(object, isEntry ? "tasks_pending" : "queued"), textOf(object, isEntry ? "tasks_outstanding" : "running"));
+    return writeRow({ state.address_, textOf(object, "role"), textOf(object, isEntry ? "name" : "target"), textOf(object, "incarnation"), conditionOf(object),
+        textOf(object, isEntry ? "tasks_pending" : "queued"), textOf(object, isEntry ? "tasks_outstanding" : "running"), {} });
 }
 
 } // namespace
@@ -86,7 +96,7 @@
 
 std::string writeStatus(const std::vector<ProcessState>& states)
 {
-    std::string text = fmt::format("{:<22} {:<6} {:<16} {:<13} {:<12} {:>8} {:>8}\n", "ADDRESS", "ROLE", "NAME", "INCARNATION", "CONDITION", "WAITING", "RUNNING");
+    std::string text = writeRow({ "ADDRESS", "ROLE", "NAME", "INCARNATION", "CONDITION", "WAITING", "RUNNING", {} });
     for (const auto& state : states)
         text += lineOf(state);
     return text;
--- a/Soak/RunsSoak.cpp
+++ b/Soak/RunsSoak.cpp
@@ -1,6 +1,7 @@
 #include "ContractTests/Support/Caller.h"
 #include "Soak/RunRecord.h"
 #include "Soak/SoakSystem.h"
+#include "UnitTests/Support/Environment.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -24,12 +25,6 @@
 /// A silence that an end may have taken for the link's end is followed by a cut: no byte outlives a reset.
 constexpr auto maxHealedSilence = milliseconds(300);
 
-int readNumber(const char* name, int otherwise)
-{
-    const char* text = std::getenv(name);
-    return text ? std::atoi(text) : otherwise;
-}
-
 /// Callers' connections to an entry: some are used as long as it keeps them open, others for one request.
 class Caller {
 public:
@@ -313,11 +308,11 @@
 
 TEST_CASE("Real processes keep their promises whatever is done to them from outside")
 {
-    int first = readNumber("SOAK_FIRST_SEED", 1);
-    int count = readNumber("SOAK_SEEDS", 2);
-    SoakSize size { static_cast<std::size_t>(readNumber("SOAK_ENTRIES", 3)), static_cast<std::size_t>(readNumber("SOAK_AGENTS", 4)) };
-    for (int seed = first; seed < first + count; ++seed) {
-        auto breaks = play(static_cast<std::uint64_t>(seed), size, std::chrono::seconds(readNumber("SOAK_SECONDS", 8)));
+    std::uint64_t first = numberFromEnvironment("SOAK_FIRST_SEED", 1);
+    std::uint64_t count = numberFromEnvironment("SOAK_SEEDS", 2);
+    SoakSize size { numberFromEnvironment("SOAK_ENTRIES", 3), numberFromEnvironment("SOAK_AGENTS", 4) };
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        auto breaks = play(seed, size, std::chrono::seconds(numberFromEnvironment("SOAK_SECONDS", 8)));
         INFO("seed " << seed);
         for (const auto& text : breaks)
             UNSCOPED_INFO(text);
--- /dev/null
+++ b/StandIns/StandInMain.cpp
@@ -0,0 +1,34 @@
+#include "StandIns/StandInMain.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+namespace Lagoonpick::StandIns {
+
+namespace options = boost::program_options;
+
+bool readOptions(int argc, char** argv, const options::options_description& description)
+{
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description), values);
+    if (values.contains("help")) {
+        std::cout << description;
+        return false;
+    }
+    options::notify(values);
+    return true;
+}
+
+int runUntilSignalled(boost::asio::io_context& context, const std::string& fault)
+{
+    if (!fault.empty()) {
+        std::cerr << fault << "\n";
+        return 1;
+    }
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
+    context.run();
+    return 0;
+}
+
+} // namespace Lagoonpick::StandIns
--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -1,5 +1,6 @@
 #include "UnitTests/Runs/RunLoad.h"
 #include "UnitTests/Runs/RunWorld.h"
+#include "UnitTests/Support/Environment.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -25,12 +26,6 @@
     double bound_;
 };
 
-std::uint64_t numberFrom(const char* variable, std::uint64_t otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 void print(const std::string& title, const LoadOutcome& outcome, const LoadOutcome& best, double messages)
 {
     std::cout << title << ": worth " << outcome.worth() << " of " << best.worth();
@@ -45,8 +40,8 @@
 void check(const Row& row)
 {
     const bool mustPrint = std::getenv("LOAD_REPLAY_PRINT") != nullptr;
-    const std::uint64_t first = numberFrom("LOAD_REPLAY_FIRST_SEED", 1);
-    const std::uint64_t count = numberFrom("LOAD_REPLAY_SEEDS", 3);
+    const std::uint64_t first = numberFromEnvironment("LOAD_REPLAY_FIRST_SEED", 1);
+    const std::uint64_t count = numberFromEnvironment("LOAD_REPLAY_SEEDS", 3);
     double worth = 0;
     double bestWorth = 0;
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -1,27 +1,11 @@
 #include "UnitTests/Runs/RunWorld.h"
+#include "UnitTests/Support/Environment.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
 
 namespace Lagoonpick {
 
-namespace {
-
-/// How many seeds a row of the table gets.
-std::uint64_t seedCount()
-{
-    const char* text = std::getenv("RUN_HISTORY_SEEDS");
-    return text ? std::strtoull(text, nullptr, 10) : 12;
-}
-
-std::uint64_t firstSeed()
-{
-    const char* text = std::getenv("RUN_HISTORY_FIRST_SEED");
-    return text ? std::strtoull(text, nullptr, 10) : 1;
-}
-
-} // namespace
-
 TEST_CASE("No fault makes two runs of a task overlap, overfills a target, or makes an answer untrue")
 {
     auto faults = GENERATE(values<RunFaults>({
@@ -46,7 +30,9 @@
     if (const char* row = std::getenv("RUN_HISTORY_ROW"); row && row != faults.name_)
         return;
     std::uint64_t done = 0;
-    for (std::uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+    const std::uint64_t first = numberFromEnvironment("RUN_HISTORY_FIRST_SEED", 1);
+    const std::uint64_t end = first + numberFromEnvironment("RUN_HISTORY_SEEDS", 12);
+    for (std::uint64_t seed = first; seed < end; ++seed) {
         RunWorld world(faults, seed);
         world.run(std::chrono::seconds(30));
         INFO(faults.name_ << ", seed " << seed << ", " << world.jobsDone() << " of " << world.jobsSent() << " jobs done");
--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -140,7 +140,7 @@
 LoadPlan planLoad(const RunLoad& load, std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
-    LoadPlan plan { .load_ = load, .kinds_ = {}, .targets_ = {}, .jobs_ = {}, .need_ = { 1'600, 500, 0 }, .span_ = span };
+    LoadPlan plan { .load_ = load, .kinds_ = {}, .targets_ = {}, .jobs_ = {}, .need_ = { 1'600, 500, 0 }, .patience_ = patience, .span_ = span };
     plan.kinds_ = { { "short", 8, milliseconds(60), 5 }, { "middle", 2, milliseconds(200), 15 }, { "long", 4, milliseconds(900), 1 } };
     plan.targets_ = drawTargets(load, random);
     double places = 0;
--- a/UnitTests/Runs/RunLoad.h
+++ b/UnitTests/Runs/RunLoad.h
@@ -89,6 +89,8 @@
     std::vector<PlannedTarget> targets_;
     std::vector<PlannedJob> jobs_;
     Wire::Resources need_;
+    /// How long callers say that they wait.
+    Duration patience_ {};
     Duration span_ {};
 
     /// How fast a target works then; 0 if it is lost, hangs or fails what it runs.
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -67,7 +67,7 @@
 
     RunWorld(RunFaults faults, std::uint64_t seed, const LoadPlan* plan);
 
-    void sendJob(const std::string& id, const JobRequest& request, int attempt);
+    void sendJob(const std::string& id, const JobRequest& request, int attempt, std::optional<Duration> leavesAfter = std::nullopt);
     void sendPlanned(const PlannedJob& job);
     void apply(const LoadPhase& phase, std::size_t index, bool isOver);
     void updateTarget(std::size_t target);
--- a/UnitTests/Runs/RunWorldCallers.cpp
+++ b/UnitTests/Runs/RunWorldCallers.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void RunWorld::sendJob(const std::string& id, const JobRequest& request, int attempt)
+void RunWorld::sendJob(const std::string& id, const JobRequest& request, int attempt, std::optional<Duration> leavesAfter)
 {
     std::size_t index = std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
     Entry& entry = *entries_[index];
@@ -29,7 +29,7 @@
         if (callers_.contains(caller))
             entry.core_->submit(CallerId(caller), request, now_);
     });
-    Duration patience = chance(faults_.giveUp_) ? between(milliseconds(10), milliseconds(300)) : request.patience_;
+    Duration patience = chance(faults_.giveUp_) ? between(milliseconds(10), milliseconds(300)) : leavesAfter.value_or(request.patience_);
     at(now_ + patience, [this, caller, index, life = entry.life_] {
         if (!callers_.contains(caller))
             return;
--- a/UnitTests/Runs/RunWorldLoad.cpp
+++ b/UnitTests/Runs/RunWorldLoad.cpp
@@ -6,28 +6,15 @@
 
 namespace Lagoonpick {
 
-using std::chrono::milliseconds;
-
 void RunWorld::sendPlanned(const PlannedJob& job)
 {
     const std::string& kind = plan_->kinds_[job.kind_].name_;
     auto tasks = static_cast<std::uint32_t>(job.work_.size());
-    JobRequest request { .id_ = job.id_, .host_ = "host", .path_ = "/" + kind + "/", .payload_ = "payload", .taskCount_ = tasks, .need_ = plan_->need_, .estimate_ = job.estimate_, .patience_ = milliseconds(1500) };
+    JobRequest request { .id_ = job.id_, .host_ = "host", .path_ = "/" + kind + "/", .payload_ = "payload", .taskCount_ = tasks, .need_ = plan_->need_, .estimate_ = job.estimate_, .patience_ = plan_->patience_ };
     jobs_[job.id_].taskCount_ = tasks;
     planned_[job.id_] = &job;
     ++sent_;
-    sendJob(job.id_, request, maxAttempts);
-    if (!job.leavesEarly_)
-        return;
-    at(now_ + job.patience_, [this, id = job.id_] {
-        for (const auto& [caller, attempt] : std::map(callers_)) {
-            if (attempt.id_ != id)
-                continue;
-            Entry& entry = *entries_[attempt.entry_];
-            intoEntry(entry, attempt.entryLife_, [this, &entry, caller = caller] { entry.core_->abandon(CallerId(caller), now_); });
-            finishAttempt(caller, std::nullopt);
-        }
-    });
+    sendJob(job.id_, request, maxAttempts, job.patience_);
 }
 
 void RunWorld::losePower(Agent& agent)
