--- /dev/null
+++ b/scripts/deploy-file.sh
@@ -0,0 +1,3 @@
+# Reads deploy/system.toml for scripts that run at the repository's root: `deploy_build` and `deploy_packages`.
+deploy_build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+mapfile -t deploy_packages < <(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | tr -d '" ' | tr ',' '\n')
