A full entry closes the connection of a caller that does not read its answer, too

Callers saw: once as many callers as an entry takes had asked and did not read their (large) answers, every other caller's connection was closed at once, for up to 20 s, though none of those places was of use to anyone.

Cause: HttpServer made room only by closing connections whose request it awaited; one whose answer is not read counted as busy until its write timed out.

Why it works: what counts is since when the other end has been awaited, for a request or for reading; while a request is handled nothing is awaited, so that it is never dropped.

--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -128,8 +128,8 @@
         bool isBusy_ { false };
         /// Closed for the sake of others; its coroutine has yet to end.
         bool isEvicted_ { false };
-        /// Since when its next request has been awaited.
-        std::chrono::steady_clock::time_point waitingSince_ { std::chrono::steady_clock::now() };
+        /// Since when its other end has been awaited, to send a request or to read an answer; nothing while a request is handled.
+        std::optional<std::chrono::steady_clock::time_point> awaitedSince_ { std::chrono::steady_clock::now() };
         /// What its request's body may take.
         std::uint64_t heldBytes_ { 0 };
     };
@@ -179,13 +179,13 @@
         sessions_.erase(place);
     }
 
-    /// Closes the connection whose request has been awaited longest, of those that hold at least so much for its body.
+    /// Closes the connection whose other end has been awaited longest, of those that hold at least so much for a body.
     bool evictSlowest(std::uint64_t minHeldBytes)
     {
         std::shared_ptr<Session> slowest;
         for (const auto& session : sessions_) {
-            bool isCandidate = !session->isBusy_ && !session->isEvicted_ && session->heldBytes_ >= minHeldBytes;
-            if (isCandidate && (!slowest || session->waitingSince_ < slowest->waitingSince_))
+            bool isCandidate = session->awaitedSince_ && !session->isEvicted_ && session->heldBytes_ >= minHeldBytes;
+            if (isCandidate && (!slowest || *session->awaitedSince_ < *slowest->awaitedSince_))
                 slowest = session;
         }
         if (!slowest)
@@ -193,7 +193,7 @@
         slowest->isEvicted_ = true;
         ++evictedCount_;
         release(*slowest);
-        // A cancelled read would go on if it is just between two reads.
+        // A cancelled read or write would go on if it is just between two parts.
         slowest->stream_.close();
         return true;
     }
@@ -222,7 +222,7 @@
         parser.header_limit(limits_.maxHeaderBytes_);
         parser.body_limit(limits_.maxBodyBytes_);
         session.stream_.expires_after(limits_.readTimeout_);
-        session.waitingSince_ = std::chrono::steady_clock::now();
+        session.awaitedSince_ = std::chrono::steady_clock::now();
         auto [error, size] = co_await http::async_read_header(session.stream_, session.buffer_, parser, useTuple);
         if (!error && !session.isEvicted_ && !parser.is_done()) {
             if (!hold(session, parser.content_length().value_or(limits_.maxBodyBytes_))) {
@@ -237,6 +237,7 @@
             co_return false;
         }
         session.isBusy_ = true;
+        session.awaitedSince_.reset();
         session.stream_.expires_never();
         auto message = parser.release();
         bool keepAlive = message.keep_alive();
@@ -285,13 +286,14 @@
     {
         if (response.stream_)
             co_return co_await writeStream(session, response);
+        session.awaitedSince_ = std::chrono::steady_clock::now();
         http::response<http::string_body> message;
         setHead(message, response, keepAlive);
         message.body() = std::move(response.body_);
         message.prepare_payload();
         session.stream_.expires_after(limits_.writeTimeout_);
         auto [error, size] = co_await http::async_write(session.stream_, message, useTuple);
-        co_return !error;
+        co_return !error && !session.isEvicted_;
     }
 
     asio::awaitable<bool> writeStream(Session& session, HttpResponse response)
--- a/Soak/RunsLimitsTest.cpp
+++ b/Soak/RunsLimitsTest.cpp
@@ -1,4 +1,5 @@
 #include "ContractTests/Support/Caller.h"
+#include "Lagoonpick/Transport/HttpServer.h"
 #include "Soak/SoakSystem.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,13 +24,12 @@
 public:
     StalledClients(const std::string& address, std::size_t count, const std::string& path, std::size_t sentBytes)
     {
-        const std::string host = address.substr(0, address.rfind(':'));
-        const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+        const auto endpoint = toEndpoint(address);
         const std::string text = fmt::format("POST {} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {}\r\n\r\n{}", path, sentBytes + 1, std::string(sentBytes, '{'));
         for (std::size_t i = 0; i < count; ++i) {
             tcp::socket& socket = sockets_.emplace_back(context_);
             boost::system::error_code error;
-            socket.connect({ asio::ip::make_address(host), port }, error);
+            socket.connect(endpoint, error);
             socket.non_blocking(true, error);
             // What does not fit into the buffers on the way is left out: the process at the other end does not read it.
             socket.write_some(asio::buffer(text), error);
@@ -41,6 +41,36 @@
     std::list<tcp::socket> sockets_;
 };
 
+/// Connections that each send some requests and never read an answer.
+class UnreadingClients {
+public:
+    UnreadingClients(const std::string& address, std::size_t count, const std::string& request, std::size_t requests)
+    {
+        const auto endpoint = toEndpoint(address);
+        std::string text;
+        for (std::size_t i = 0; i < requests; ++i)
+            text += request;
+        for (std::size_t i = 0; i < count; ++i) {
+            tcp::socket& socket = sockets_.emplace_back(context_, tcp::v4());
+            boost::system::error_code error;
+            // So that the other end's answers back up there soon.
+            socket.set_option(asio::socket_base::receive_buffer_size(leastBuffer), error);
+            socket.connect(endpoint, error);
+            connected_ += error ? 0 : 1;
+            socket.non_blocking(true, error);
+            socket.write_some(asio::buffer(text), error);
+        }
+    }
+
+    std::size_t connected() const { return connected_; }
+
+private:
+    static constexpr int leastBuffer = 1024;
+    asio::io_context context_;
+    std::list<tcp::socket> sockets_;
+    std::size_t connected_ { 0 };
+};
+
 /// The most memory that a process holds over a while, in megabytes.
 std::uint64_t peakMegabytes(const Contract::Process& process, std::chrono::milliseconds span)
 {
@@ -69,6 +99,21 @@
     CHECK(answer.member("state") == "done");
 }
 
+TEST_CASE("As many callers as an entry has descriptors for, none of which reads, take neither its memory nor the place of those that do", "[RunsLimits]")
+{
+    constexpr std::uint64_t entryMegabytes = 260;
+    constexpr std::size_t clients = 4100;
+    constexpr std::size_t requests = 5;
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(patienceSeconds));
+    UnreadingClients unreading(system.front(0), clients, "GET /queue/ HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", requests);
+    CHECK(unreading.connected() == clients);
+    CHECK(peakMegabytes(system.entryProcess(0), std::chrono::seconds(3)) < entryMegabytes / 2);
+    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000a3", R"({"spec":"work_ms=20 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":100}],"best_effort":true})", patienceSeconds);
+    INFO(answer.status_ << " " << answer.body_);
+    CHECK(answer.member("state") == "done");
+}
+
 TEST_CASE("Heartbeats that never arrive whole don't take an agent's memory", "[RunsLimits]")
 {
     constexpr std::uint64_t agentMegabytes = 128;
