An entry takes connections and bodies by the descriptors and memory that its settings name

Callers saw: on an instance with fewer than 4,096 descriptors (deployments have 3,075) an entry that many callers keep connections open to takes no new connection and loses its links: it ran out of descriptors before it reached its own limit of 3,496 connections, and then had nothing that it could close.

Cause: the limits of connections and bodies were constants made for 4,096 descriptors and 260 MB.

Evidence: RunsLimitsTest "As many callers as an entry has descriptors for ...", now with 4,096, 3,075 and 1,100 descriptors (the process is really held to them): with the constant the rows 3,075 and 1,100 fail, no answer within 10 s; all pass now.

Why it works: 600 descriptors are kept for links, store and files, whatever there is; the rest is for callers, and a full entry closes the connection that has kept it waiting longest. Closed connections are counted in the metrics.

--- a/ContractTests/HttpServerTest.cpp
+++ b/ContractTests/HttpServerTest.cpp
@@ -76,6 +76,7 @@
         context.restart();
     }
     CHECK(statusWithin(context, connectTo(context, server.port()), std::chrono::seconds(2)) == 200);
+    CHECK(server.connectionsClosedForRoom() == 1);
 }
 
 TEST_CASE("A server that is full of requests which are handled takes no further connection", "[HttpServer]")
@@ -91,6 +92,7 @@
     context.run_for(std::chrono::milliseconds(100));
     CHECK(pending.size() == 1);
     CHECK(statusWithin(context, connectTo(context, server.port()), std::chrono::seconds(1)) == 0);
+    CHECK(server.connectionsClosedForRoom() == 1);
     REQUIRE(pending.size() == 1);
     pending.front()({ .body_ = "{}", .stream_ = {} });
     context.restart();
--- a/ContractTests/Support/Process.cpp
+++ b/ContractTests/Support/Process.cpp
@@ -10,7 +10,9 @@
 #include <set>
 #include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -71,6 +73,13 @@
     return 0;
 }
 
+void Process::limitDescriptors(std::uint64_t count) const
+{
+    const rlimit limit { count, count };
+    if (::prlimit(id_, RLIMIT_NOFILE, &limit, nullptr))
+        throw std::system_error(errno, std::system_category(), "can't limit the descriptors of a process");
+}
+
 void Process::kill()
 {
     if (id_ <= 0)
--- a/ContractTests/Support/Process.h
+++ b/ContractTests/Support/Process.h
@@ -24,6 +24,9 @@
     /// Memory in use, in kilobytes.
     std::uint64_t residentKilobytes() const;
 
+    /// Sets how many descriptors the process may have open.
+    void limitDescriptors(std::uint64_t count) const;
+
     /// Ends the process at once and waits for its end.
     void kill();
 
--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -11,21 +11,6 @@
 namespace {
 
 constexpr std::size_t maxLogBytes = 131'072;
-/// Descriptors that links, the store and files need besides callers' connections.
-constexpr std::uint32_t reservedDescriptors = 600;
-/// An eighth of an entry's memory: a body is also parsed and kept with its job.
-constexpr std::uint64_t maxHeldRequestBytes = 33'554'432;
-
-HttpLimits frontLimits()
-{
-    HttpLimits limits;
-    limits.maxConnections_ -= reservedDescriptors;
-    limits.maxBodyBytes_ = 262'144;
-    limits.maxHeldBytes_ = maxHeldRequestBytes;
-    limits.readTimeout_ = std::chrono::seconds(15);
-    return limits;
-}
-
 HttpLimits serviceLimits()
 {
     HttpLimits limits;
@@ -48,7 +33,7 @@
           runLinkEvents(
               core_, [this] { return enter(); }, [this] { loop_.schedule(); }),
           seed + 1)
-    , front_(context, frontLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
+    , front_(context, settings_.frontLimits_, [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
     , ready_(context, serviceLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
         if (UsersPlatform::isReadinessPath(request.path_))
             respond(UsersPlatform::encodeReadiness(core_.isReady()));
@@ -150,7 +135,7 @@
 {
     bool wantsState = request.path_ == "/state";
     respond({ .contentType_ = wantsState ? "application/json" : "text/plain; version=0.0.4",
-        .body_ = wantsState ? dumpState() : writeJobEntryMetrics(core_, log_, store_),
+        .body_ = wantsState ? dumpState() : writeJobEntryMetrics(core_, log_, store_, front_),
         .stream_ = {} });
 }
 
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -69,6 +69,6 @@
 };
 
 /// The entry's counters and histograms, in the Prometheus text format.
-std::string writeJobEntryMetrics(const JobCore& core, const EventLog& log, const UsersPlatform::StoreClient& store);
+std::string writeJobEntryMetrics(const JobCore& core, const EventLog& log, const UsersPlatform::StoreClient& store, const HttpServer& front);
 
 } // namespace Lagoonpick
--- a/JobEntry/JobEntrySettings.cpp
+++ b/JobEntry/JobEntrySettings.cpp
@@ -11,6 +11,31 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+namespace {
+
+/// Descriptors that files, links and the store need besides callers' connections.
+constexpr std::uint64_t reservedDescriptors = 600;
+constexpr std::uint64_t leastDescriptors = 1000;
+constexpr std::uint64_t maxDescriptors = 1'000'000;
+constexpr std::uint64_t maxMegabytes = 1'000'000;
+constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
+/// The part of the process's memory that requests' bodies may take: each is also parsed and kept with its job.
+constexpr std::uint64_t bodiesShare = 8;
+
+HttpLimits readFrontLimits(SettingsReader& reader)
+{
+    HttpLimits limits;
+    auto descriptors = reader.number("limits", "descriptors", 4096, leastDescriptors, maxDescriptors);
+    auto megabytes = reader.number("limits", "memory_mb", 256, 1, maxMegabytes);
+    limits.maxConnections_ = static_cast<std::uint32_t>(descriptors - reservedDescriptors);
+    limits.maxBodyBytes_ = 262'144;
+    limits.maxHeldBytes_ = std::max(megabytes * bytesPerMegabyte / bodiesShare, limits.maxBodyBytes_);
+    limits.readTimeout_ = seconds(15);
+    return limits;
+}
+
+} // namespace
+
 JobEntrySettings readJobEntrySettings(SettingsReader& reader)
 {
     JobEntrySettings settings;
@@ -20,6 +45,7 @@
     settings.linkListenAddress_ = reader.address("entry", "link_address");
     job.linkAddress_ = reader.address("entry", "advertised_link_address", settings.linkListenAddress_.empty() ? "0.0.0.0:0" : settings.linkListenAddress_);
     settings.frontAddress_ = reader.address("entry", "front_address");
+    settings.frontLimits_ = readFrontLimits(reader);
     settings.readyAddress_ = reader.address("entry", "ready_address");
     settings.metricsAddress_ = reader.address("entry", "metrics_address");
     settings.seeds_ = splitList(reader.text("entry", "seeds", "-"));
--- a/JobEntry/JobEntrySettings.h
+++ b/JobEntry/JobEntrySettings.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonpick/Configuration/SettingsReader.h"
 #include "Lagoonpick/Job/JobSettings.h"
+#include "Lagoonpick/Transport/HttpServer.h"
 
 #include <vector>
 
@@ -13,6 +14,8 @@
     /// Where this process takes links; `job_.linkAddress_` is what others are told.
     std::string linkListenAddress_;
     std::string frontAddress_;
+    /// What callers may take of this process's descriptors and memory.
+    HttpLimits frontLimits_;
     std::string readyAddress_;
     std::string metricsAddress_;
     std::string storeAddress_;
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -155,8 +155,10 @@
                 co_await pause.async_wait(useTuple);
                 continue;
             }
-            if (sessions_.size() - evictedCount_ >= limits_.maxConnections_ && !evictSlowest(0))
+            if (sessions_.size() - evictedCount_ >= limits_.maxConnections_ && !evictSlowest(0)) {
+                ++closedForRoom_;
                 continue;
+            }
             beast::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
             auto session = std::make_shared<Session>(std::move(socket));
@@ -192,6 +194,7 @@
             return false;
         slowest->isEvicted_ = true;
         ++evictedCount_;
+        ++closedForRoom_;
         release(*slowest);
         // A cancelled read or write would go on if it is just between two parts.
         slowest->stream_.close();
@@ -331,6 +334,7 @@
     std::list<std::shared_ptr<Session>> sessions_;
     std::size_t evictedCount_ { 0 };
     std::uint64_t heldBytes_ { 0 };
+    std::uint64_t closedForRoom_ { 0 };
     bool isStopping_ { false };
 };
 
@@ -383,4 +387,9 @@
     return std::count_if(state_->sessions_.begin(), state_->sessions_.end(), [](const auto& session) { return session->isBusy_; });
 }
 
+std::uint64_t HttpServer::connectionsClosedForRoom() const
+{
+    return state_->closedForRoom_;
+}
+
 } // namespace Lagoonpick
--- a/Lagoonpick/Transport/HttpServer.h
+++ b/Lagoonpick/Transport/HttpServer.h
@@ -19,8 +19,8 @@
 
 /// An HTTP/1.1 server on one address. Requests of one connection are handled one after the other.
 ///
-/// When connections or bodies reach their limit, the connection whose request has been awaited longest is closed for the
-/// sake of the new one; a request that was taken whole is never dropped.
+/// When connections or bodies reach their limit, the connection whose other end has been awaited longest, to send a request or to
+/// read an answer, is closed for the sake of the new one; a request that is handled is never dropped.
 ///
 /// Lives on one `io_context` that one thread runs. Not for streaming request bodies.
 class HttpServer {
@@ -44,6 +44,10 @@
     /// How many connections have a request that is not wholly answered.
     std::size_t busyConnections() const;
 
+    /// How many connections were closed since the start, new ones or those whose other end was awaited, because there was no
+    /// room for more.
+    std::uint64_t connectionsClosedForRoom() const;
+
 private:
     struct State;
     std::shared_ptr<State> state_;
--- a/Soak/RunsLimitsTest.cpp
+++ b/Soak/RunsLimitsTest.cpp
@@ -104,7 +104,9 @@
     constexpr std::uint64_t entryMegabytes = 260;
     constexpr std::size_t clients = 4100;
     constexpr std::size_t requests = 5;
-    SoakSystem system({ 1, 1 });
+    auto descriptors = GENERATE(values<std::uint64_t>({ 4096, 3075, 1100 }));
+    INFO(descriptors << " descriptors");
+    SoakSystem system({ .entries_ = 1, .agents_ = 1, .entryDescriptors_ = descriptors });
     REQUIRE(system.waitUntilReady(patienceSeconds));
     UnreadingClients unreading(system.front(0), clients, "GET /queue/ HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", requests);
     CHECK(unreading.connected() == clients);
--- a/Soak/SoakSystem.cpp
+++ b/Soak/SoakSystem.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 SoakSystem::SoakSystem(SoakSize size)
-    : storeAddress_(freeAddress())
+    : entryDescriptors_(size.entryDescriptors_)
+    , storeAddress_(freeAddress())
     , storeRelayAddress_(freeAddress())
     , entries_(size.entries_)
     , agents_(size.agents_)
@@ -65,12 +66,13 @@
 {
     Entry& entry = entries_[i];
     auto text = fmt::format("[entry]\nname = entry-{}\navailability_zone = zone-a\nfront_address = {}\nready_address = {}\nlink_address = {}\n"
-                            "advertised_link_address = {}\nmetrics_address = {}\nseeds = -\n[store]\naddress = {}\n",
-        i, entry.front_, entry.ready_, entry.link_, entry.relayAddress_, entry.metrics_, storeRelayAddress_);
+                            "advertised_link_address = {}\nmetrics_address = {}\nseeds = -\n[store]\naddress = {}\n[limits]\ndescriptors = {}\n",
+        i, entry.front_, entry.ready_, entry.link_, entry.relayAddress_, entry.metrics_, storeRelayAddress_, entryDescriptors_);
     auto file = folder_.write(fmt::format("entry-{}.ini", i), text);
     entry.log_.file_ = fmt::format("{}/entry-{}.log", folder_.path(), i);
     beginLife(entry.log_);
     entry.process_ = std::make_unique<Process>(std::vector<std::string> { JOB_ENTRY_PROGRAM, "--config", file }, entry.log_.file_);
+    entry.process_->limitDescriptors(entryDescriptors_);
 }
 
 void SoakSystem::startAgent(std::size_t i)
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -12,6 +12,8 @@
 struct SoakSize {
     std::size_t entries_ { 3 };
     std::size_t agents_ { 4 };
+    /// How many descriptors an entry may have open, which its settings tell it.
+    std::uint64_t entryDescriptors_ { 4096 };
 };
 
 /// The programs of the users' platform as separate processes, with stand-ins for its store and its targets, and a
@@ -89,6 +91,7 @@
     };
 
     Contract::Folder folder_;
+    std::uint64_t entryDescriptors_;
     std::string storeAddress_;
     std::string storeRelayAddress_;
     std::unique_ptr<Contract::Process> storeProcess_;
