The log says what a rejection for lack of room rests on

Operators saw `job_rejected` with `overloaded` and no figure: whether the job would have been late or was rejected for the sake of another queue could not be told.

The decision's inputs are in the line now: when the job was expected to end, by when it had to, the age of the oldest report that this rests on, and whether other queues were the cause. JobCoreTest, two new tests, failed before: there were no such fields.

--- a/Lagoonpick/Job/JobCore.cpp
+++ b/Lagoonpick/Job/JobCore.cpp
@@ -82,13 +82,13 @@
         return;
     }
     if (!isKnown)
-        return reject(caller, request, JobRefusal::NoConfiguration, now);
+        return reject(caller, request, { JobRefusal::NoConfiguration });
     if (shutdownAt_ && now - *shutdownAt_ > settings_.shutdownAcceptance_)
-        return reject(caller, request, JobRefusal::ShuttingDown, now);
+        return reject(caller, request, { JobRefusal::ShuttingDown });
     if (jobs_.size() >= settings_.maxJobs_)
-        return reject(caller, request, JobRefusal::Overloaded, now);
+        return reject(caller, request, { JobRefusal::Overloaded });
     if (!request.taskCount_ || request.taskCount_ > settings_.maxTasks_)
-        return reject(caller, request, JobRefusal::TooLarge, now);
+        return reject(caller, request, { JobRefusal::TooLarge });
 
     HeldJob job { .request_ = request, .queue_ = *queues_.find(request.host_, request.path_), .callers_ = { caller }, .arrivedAt_ = now };
     job.work_ = workModel_.learn(job.queue_.name_, request.estimate_);
@@ -96,12 +96,14 @@
     job.due_ = now + objective - settings_.overhead_;
     job.deadline_ = now + request.patience_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
-    auto refusal = admit(job, now);
-    if (refusal == JobRefusal::None && mustYield(job, now))
-        refusal = JobRefusal::Overloaded;
-    rejectionShares_.record(job.queue_.service_, job.queue_.name_, refusal == JobRefusal::Overloaded, now);
-    if (refusal != JobRefusal::None)
-        return reject(caller, request, refusal, now);
+    Admission admission = admit(job, now);
+    if (admission.refusal_ == JobRefusal::None && mustYield(job, now)) {
+        admission.refusal_ = JobRefusal::Overloaded;
+        admission.isForOthers_ = true;
+    }
+    rejectionShares_.record(job.queue_.service_, job.queue_.name_, admission.refusal_ == JobRefusal::Overloaded, now);
+    if (admission.refusal_ != JobRefusal::None)
+        return reject(caller, request, admission);
     ++counters_.accepted_;
     JobKey key = ++lastJob_;
     log(LogLine("job_accepted").text("job", request.id_).text("queue", job.queue_.name_).number("configuration", queues_.version()).number("tasks", request.taskCount_).milliseconds("work_ms", job.work_).milliseconds("due_in_ms", job.due_ - now).milliseconds("patience_ms", request.patience_));
@@ -250,12 +252,16 @@
     effects_.answers_.push_back({ caller, verdict, refusal, retryAfter });
 }
 
-void JobCore::reject(CallerId caller, const JobRequest& request, JobRefusal refusal, Time)
+void JobCore::reject(CallerId caller, const JobRequest& request, const Admission& admission)
 {
     ++counters_.rejected_;
     std::size_t usable = std::count_if(agents_.begin(), agents_.end(), [](const auto& row) { return row.second.isUsable(); });
-    log(LogLine("job_rejected").text("job", request.id_).text("why", nameOf(refusal)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_));
-    answerCaller(caller, JobVerdict::Rejected, refusal);
+    LogLine line("job_rejected");
+    line.text("job", request.id_).text("why", nameOf(admission.refusal_)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
+    if (admission.refusal_ == JobRefusal::Overloaded && admission.limit_.count())
+        line.milliseconds("expected_ms", admission.expected_).milliseconds("limit_ms", admission.limit_).flag("for_others", admission.isForOthers_).milliseconds("report_age_ms", admission.reportAge_);
+    log(std::move(line));
+    answerCaller(caller, JobVerdict::Rejected, admission.refusal_);
 }
 
 void JobCore::abandon(CallerId caller, Time now)
--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -107,7 +107,18 @@
     Duration workOn(const HeldJob& job, const AgentRow& agent) const;
     /// True if targets that fail what they run are left out.
     bool mustSpareSuspects() const;
-    JobRefusal admit(HeldJob& job, Time now);
+    /// Whether a job is taken, and what decided it.
+    struct Admission {
+        JobRefusal refusal_ { JobRefusal::None };
+        /// When its last task was expected to end, and by when it had to.
+        Duration expected_ {};
+        Duration limit_ {};
+        /// It would have been in time, but other queues have to reject jobs.
+        bool isForOthers_ { false };
+        /// Since when the oldest report of a target that it rests on is known.
+        Duration reportAge_ {};
+    };
+    Admission admit(const HeldJob& job, Time now);
     bool mustYield(const HeldJob& job, Time now);
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// The agents that a task may be placed on, a random few of them where there are many.
@@ -132,7 +143,7 @@
     void finishRecalled(JobKey key, Time now);
     void answer(JobKey key, JobVerdict verdict, JobRefusal refusal, Time now);
     void answerCaller(CallerId caller, JobVerdict verdict, JobRefusal refusal);
-    void reject(CallerId caller, const JobRequest& request, JobRefusal refusal, Time now);
+    void reject(CallerId caller, const JobRequest& request, const Admission& admission);
     void checkJobs(Time now);
     void checkAgents(Time now);
     void loseRunsOf(Incarnation agent, Time now);
--- a/Lagoonpick/Job/JobCorePlacement.cpp
+++ b/Lagoonpick/Job/JobCorePlacement.cpp
@@ -53,22 +53,26 @@
 
 /// Answers the load pattern of more jobs than there is room for: one that would end too late is rejected while its
 /// caller can still turn elsewhere, and nothing of it takes room from those that can end in time.
-JobRefusal JobCore::admit(HeldJob& job, Time now)
+JobCore::Admission JobCore::admit(const HeldJob& job, Time now)
 {
     struct Candidate {
         TargetLoadView load_;
         Duration work_;
     };
     std::vector<Candidate> candidates;
+    Admission admission;
     bool mustSpare = mustSpareSuspects();
     for (const auto& [incarnation, agent] : agents_) {
         // A target that fails what it runs has room, but not for this.
-        if (canRun(job, agent) && !(mustSpare && agent.report_.isSuspect_))
-            candidates.push_back({ agent.load(), workOn(job, agent) });
+        if (!canRun(job, agent) || (mustSpare && agent.report_.isSuspect_))
+            continue;
+        candidates.push_back({ agent.load(), workOn(job, agent) });
+        admission.reportAge_ = std::max<Duration>(admission.reportAge_, now - agent.reportedAt_);
+    }
+    if (candidates.empty()) {
+        admission.refusal_ = JobRefusal::NoTargets;
+        return admission;
     }
-    if (candidates.empty())
-        return JobRefusal::NoTargets;
-    Duration latest {};
     for (std::uint32_t task = 0; task < job.request_.taskCount_; ++task) {
         Candidate* best = nullptr;
         Duration earliest = Duration::max();
@@ -81,12 +85,12 @@
         }
         best->load_.committed_ = best->load_.committed_ + job.request_.need_;
         best->load_.unseen_ = best->load_.unseen_ + job.request_.need_;
-        latest = std::max(latest, earliest);
+        admission.expected_ = std::max(admission.expected_, earliest);
     }
-    Duration limit = scale(job.due_ - now, maxExpectedLateness);
-    if (latest > limit || now + latest > job.deadline_)
-        return JobRefusal::Overloaded;
-    return JobRefusal::None;
+    admission.limit_ = std::min<Duration>(scale(job.due_ - now, maxExpectedLateness), job.deadline_ - now);
+    if (admission.expected_ > admission.limit_)
+        admission.refusal_ = JobRefusal::Overloaded;
+    return admission;
 }
 
 /// While other queues of the service must reject jobs, this one gives up as much.
--- a/UnitTests/Runs/JobCoreTest.cpp
+++ b/UnitTests/Runs/JobCoreTest.cpp
@@ -80,6 +80,15 @@
                 ++stops_;
         }
         answers_.insert(answers_.end(), effects.answers_.begin(), effects.answers_.end());
+        for (const auto& line : effects.log_)
+            log_.push_back(line.fields());
+    }
+
+    /// The last line of the log that tells of this event.
+    std::string lastLine(const std::string& event) const
+    {
+        auto found = std::find_if(log_.rbegin(), log_.rend(), [&](const auto& line) { return line.find("\"" + event + "\"") != std::string::npos; });
+        return found == log_.rend() ? "" : *found;
     }
 
     Time now_ { std::chrono::hours(1) };
@@ -88,6 +97,7 @@
     std::vector<std::pair<LinkId, Wire::StartRun>> starts_;
     int stops_ { 0 };
     std::vector<JobAnswer> answers_;
+    std::vector<std::string> log_;
 };
 
 } // namespace
@@ -279,6 +289,50 @@
     CHECK(entry.starts_[0].first == LinkId(2));
 }
 
+TEST_CASE("The log says what a rejection for lack of room rests on")
+{
+    EntryAtWork entry(1);
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.backlogMicroseconds_ = 400'000;
+    entry.core_.receive(LinkId(1), full, entry.now_);
+    entry.now_ += milliseconds(30);
+    entry.submit(makeRequest("late"));
+    auto line = entry.lastLine("job_rejected");
+    INFO(line);
+    // 400 ms of backlog, 100 for the overflow and 100 of work, against 1.1 times the 205 that the job may take.
+    CHECK(line.find(R"("expected_ms":600.0)") != std::string::npos);
+    CHECK(line.find(R"("limit_ms":225.5)") != std::string::npos);
+    CHECK(line.find(R"("for_others":false)") != std::string::npos);
+    CHECK(line.find(R"("report_age_ms":30.0)") != std::string::npos);
+    auto large = makeRequest("large", 5000);
+    entry.submit(large);
+    CHECK(entry.lastLine("job_rejected").find("expected_ms") == std::string::npos);
+}
+
+TEST_CASE("The log says that a job was rejected for the sake of other queues")
+{
+    EntryAtWork entry;
+    std::vector<QueueRule> rules = EntryAtWork::makeQueues(1).rules();
+    rules.push_back(rules.front());
+    rules.back().name_ = "hopeless";
+    rules.back().prefix_ = "/hopeless/";
+    rules.back().slackFactor_ = 0.1;
+    rules.back().allowance_ = milliseconds(20);
+    entry.core_.setQueues(QueueTable(2, rules), "text", entry.now_);
+    auto hopeless = makeRequest("hopeless");
+    hopeless.path_ = "/hopeless/";
+    std::string line;
+    for (int i = 0; i < 40 && line.find(R"("for_others":true)") == std::string::npos; ++i) {
+        entry.submit(hopeless);
+        entry.submit(makeRequest("usual-" + std::to_string(i)));
+        line = entry.lastLine("job_rejected");
+    }
+    INFO(line);
+    CHECK(line.find(R"("for_others":true)") != std::string::npos);
+    CHECK(line.find(R"("job":"usual-)") != std::string::npos);
+}
+
 TEST_CASE("Queues of one service bear the same share of rejections, those of others bear none; it is soon forgotten")
 {
     RejectionShares shares;
