--- a/Soak/RunsLimitsTest.cpp
+++ b/Soak/RunsLimitsTest.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <list>
+#include <sys/resource.h>
 #include <thread>
 
 namespace Lagoonpick::Soak {
@@ -18,6 +19,8 @@
 using asio::ip::tcp;
 
 constexpr int patienceSeconds = 10;
+/// The memory that an entry's instance has.
+constexpr std::uint64_t entryMegabytes = 260;
 
 /// Connections that each send the first part of a request and then neither send nor read anything.
 class StalledClients {
@@ -83,25 +86,40 @@
     return peak;
 }
 
+/// Lets this process open as many descriptors as it may: the usual limit is less than the callers that it plays.
+void raiseDescriptorLimit()
+{
+    rlimit limit {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    limit.rlim_cur = limit.rlim_max;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+}
+
+/// Checks that a caller with a job is served.
+void checkServes(const SoakSystem& system)
+{
+    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000a2", R"({"spec":"work_ms=20 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":100}],"best_effort":true})", patienceSeconds);
+    INFO(answer.status_ << " " << answer.body_);
+    CHECK(answer.member("state") == "done");
+}
+
 } // namespace
 
 TEST_CASE("Requests that never arrive whole don't take an entry's memory, nor the place of those that do", "[RunsLimits]")
 {
-    constexpr std::uint64_t entryMegabytes = 260;
+    raiseDescriptorLimit();
     constexpr std::size_t clients = 1500;
     constexpr std::size_t bodyBytes = 240'000;
     SoakSystem system({ 1, 1 });
     REQUIRE(system.waitUntilReady(patienceSeconds));
     StalledClients stalled(system.front(0), clients, "/queue/00000000000000a1", bodyBytes);
     CHECK(peakMegabytes(system.entryProcess(0), std::chrono::seconds(2)) < entryMegabytes / 2);
-    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000a2", R"({"spec":"work_ms=20 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":100}],"best_effort":true})", patienceSeconds);
-    INFO(answer.status_ << " " << answer.body_);
-    CHECK(answer.member("state") == "done");
+    checkServes(system);
 }
 
 TEST_CASE("As many callers as an entry has descriptors for, none of which reads, take neither its memory nor the place of those that do", "[RunsLimits]")
 {
-    constexpr std::uint64_t entryMegabytes = 260;
+    raiseDescriptorLimit();
     constexpr std::size_t clients = 4100;
     constexpr std::size_t requests = 5;
     auto descriptors = GENERATE(values<std::uint64_t>({ 4096, 3075, 1100 }));
@@ -111,9 +129,7 @@
     UnreadingClients unreading(system.front(0), clients, "GET /queue/ HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", requests);
     CHECK(unreading.connected() == clients);
     CHECK(peakMegabytes(system.entryProcess(0), std::chrono::seconds(3)) < entryMegabytes / 2);
-    auto answer = Contract::call(system.front(0), "POST", "/queue/00000000000000a3", R"({"spec":"work_ms=20 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":100}],"best_effort":true})", patienceSeconds);
-    INFO(answer.status_ << " " << answer.body_);
-    CHECK(answer.member("state") == "done");
+    checkServes(system);
 }
 
 TEST_CASE("Heartbeats that never arrive whole don't take an agent's memory", "[RunsLimits]")
