--- a/Lagoonpick/Job/JobCore.h
+++ b/Lagoonpick/Job/JobCore.h
@@ -115,7 +115,7 @@
         Duration limit_ {};
         /// It would have been in time, but other queues have to reject jobs.
         bool isForOthers_ { false };
-        /// Since when the oldest report of a target that it rests on is known.
+        /// How old the oldest of the targets' reports is that this rests on.
         Duration reportAge_ {};
     };
     Admission admit(const HeldJob& job, Time now);
