Agents attach to four entries each; idle links are quiet; configurations are fetched by version

Cause: on the large site every agent linked to every entry (13,200 links).

Change: an agent orders the entries by rendezvous hashing of its name and their addresses and attaches to the first four that answer (EntrySelection). It leaves an entry by reporting its target as closed to it, and drops the link once no run is left. Heartbeats on links without runs come each 200 ms. A configuration is fetched once a process, from a peer whose heartbeat shows a newer version, instead of being sent in copies (ConfigurationFetch); the protocol's version is 2. An entry takes the configuration that another entry sends in answer to its hello, which it dropped before. An entry looks for earlier incarnations of an agent only while it holds a row without a link.

Fewer entries compete for the same room, and reports are younger.

--- a/Lagoonpick/Job/AgentTable.h
+++ b/Lagoonpick/Job/AgentTable.h
@@ -17,12 +17,11 @@
     /// When the last message from the agent arrived.
     Time lastReceived_;
     Time linkLostAt_;
-    /// When the next heartbeat to the agent is due.
-    Time nextHeartbeat_;
+    /// When a heartbeat was last sent to the agent.
+    Time heartbeatSentAt_;
     /// When `report_` arrived.
     Time reportedAt_;
     Wire::TargetReport report_;
-    std::uint64_t configurationVersion_ { 0 };
     /// Highest sequence number of a run's end received from the agent.
     std::uint64_t highestSeenEnd_ { 0 };
     /// Earliest time at which a suspect target gets another task as a probe.
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -8,6 +8,7 @@
 #include "Lagoonpick/Job/WorkModel.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
+#include "Lagoonpick/Run/ConfigurationFetch.h"
 #include "Lagoonpick/Wire/Outgoing.h"
 
 #include <deque>
@@ -101,6 +102,7 @@
     void handle(LinkId, const Wire::AgentHello&, Time now);
     void handle(LinkId, const Wire::EntryHello&, Time now);
     void handle(LinkId, const Wire::RunHeartbeat&, Time now);
+    void handle(LinkId, const Wire::ConfigurationRequest&, Time now);
     void handle(LinkId, const Wire::ConfigurationCopy&, Time now);
     void handle(LinkId, const Wire::RunEnded&, Time now);
     void handle(LinkId, const Wire::RunStalled&, Time now);
@@ -168,6 +170,7 @@
     std::mt19937_64 random_;
     QueueTable queues_;
     std::string configurationText_;
+    ConfigurationFetch configurationFetch_;
     Time configurationConfirmedAt_;
     WorkModel workModel_;
     RejectionShares rejectionShares_;
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Of the heartbeats from an agent with an older configuration, one in this many is answered with the newer one, because other
-/// entries send it too.
-constexpr std::uint64_t heartbeatsPerCopy = 3;
 /// Time to stop a run and to send its task to another target.
 constexpr Duration moveTime = std::chrono::milliseconds(20);
 /// Factor on a stalled run's remaining time. The progress rate of a run is known to within about a tenth; a move must gain
@@ -44,7 +41,9 @@
 {
     AgentRow* agent = findAgent(link);
     bool isHello = std::holds_alternative<Wire::AgentHello>(message) || std::holds_alternative<Wire::EntryHello>(message);
-    if (!agent && !isHello)
+    // Another entry answers a hello with its configuration.
+    bool isForAll = isHello || std::holds_alternative<Wire::ConfigurationCopy>(message);
+    if (!agent && !isForAll)
         return;
     if (agent)
         agent->lastReceived_ = now;
@@ -74,7 +73,7 @@
     agent.availabilityZone_ = hello.availabilityZone_;
     agent.link_ = link;
     agent.lastReceived_ = now;
-    agent.nextHeartbeat_ = now;
+    agent.heartbeatSentAt_ = Time();
     log(LogLine("agent_attached").text("agent", hello.name_).number("runs", agent.runs_.size()));
     for (const auto& [run, need] : agent.runs_) {
         // The job may have been answered while the link was down, when its stop could not be sent.
@@ -96,9 +95,15 @@
         send(link, Wire::ConfigurationCopy { queues_.version(), configurationText_ });
 }
 
-void JobEntryCore::handle(LinkId link, const Wire::RunHeartbeat& heartbeat, Time)
+void JobEntryCore::handle(LinkId link, const Wire::RunHeartbeat& heartbeat, Time now)
 {
-    if (heartbeat.configurationVersion_ < queues_.version() && random_() % heartbeatsPerCopy == 0)
+    if (configurationFetch_.mustAsk(heartbeat.configurationVersion_, queues_.version(), now))
+        send(link, Wire::ConfigurationRequest { queues_.version() });
+}
+
+void JobEntryCore::handle(LinkId link, const Wire::ConfigurationRequest& request, Time)
+{
+    if (queues_.version() > request.version_)
         send(link, Wire::ConfigurationCopy { queues_.version(), configurationText_ });
 }
 
@@ -158,6 +163,9 @@
     if (!report.isOpen_)
         return;
     // A later incarnation of an agent reports itself open only when no run of an earlier incarnation is left.
+    // Without a link there is only an agent whose link was lost, such as an earlier incarnation.
+    if (agents_.size() == links_.size())
+        return;
     std::vector<Incarnation> earlier;
     for (const auto& [incarnation, other] : agents_) {
         if (other.name_ == agent.name_ && !other.link_ && &other != &agent)
@@ -180,8 +188,9 @@
         }
         if (!agent.link_ && now - agent.linkLostAt_ >= settings_.times_.orphanTimeout_)
             expiredAgents.push_back(incarnation);
-        if (agent.link_ && now >= agent.nextHeartbeat_) {
-            agent.nextHeartbeat_ = now + settings_.heartbeatInterval_;
+        Duration interval = agent.runs_.empty() ? settings_.idleHeartbeatInterval_ : settings_.heartbeatInterval_;
+        if (agent.link_ && now - agent.heartbeatSentAt_ >= interval) {
+            agent.heartbeatSentAt_ = now;
             send(*agent.link_, Wire::RunHeartbeat { .configurationVersion_ = queues_.version(), .highestSeenEnd_ = agent.highestSeenEnd_ });
         }
     }
--- a/Lagoonpick/Job/JobEntryCoreSettings.h
+++ b/Lagoonpick/Job/JobEntryCoreSettings.h
@@ -15,8 +15,10 @@
     /// Address at which agents and other entries connect to this entry.
     std::string linkAddress_;
 
-    /// Interval of the heartbeats to agents: a fifth of the default `LeaseTiming::entryTimeout_`.
+    /// Interval of the heartbeats to agents that have runs of this entry: a fifth of the default `LeaseTiming::entryTimeout_`.
     Duration heartbeatInterval_ { std::chrono::milliseconds(100) };
+    /// Interval of the heartbeats to other agents. They have nothing to stop, so that only the link depends on it.
+    Duration idleHeartbeatInterval_ { std::chrono::milliseconds(200) };
     /// An agent's link on which nothing was received for this long is aborted: four of the agent's heartbeat intervals.
     Duration linkTimeout_ { std::chrono::milliseconds(400) };
     LeaseTiming times_;
--- a/Lagoonpick/Run/EntrySession.h
+++ b/Lagoonpick/Run/EntrySession.h
@@ -16,15 +16,17 @@
     /// Empty while the entry is not connected.
     std::optional<LinkId> link_;
     Time lastReceived_;
-    Time nextHeartbeat_;
+    /// Since when the agent has been about to detach from the entry: it reports its target as closed, and closes the link once
+    /// no run is left.
+    std::optional<Time> leavingSince_;
+    /// When a heartbeat or a report was last sent to the entry.
+    Time lastSent_;
     Time nextReport_;
     bool isReportDue_ { true };
     /// Sequence number of the newest `RunEnded` for this entry.
     std::uint64_t lastEnd_ { 0 };
     /// Highest run number that the entry has mentioned.
     std::uint64_t highestRun_ { 0 };
-    /// The configuration that the entry has, or that was last sent to it.
-    std::uint64_t configurationVersion_ { 0 };
     /// Run ends that the entry has not confirmed, oldest first.
     std::deque<Wire::RunEnded> unconfirmed_;
 };
--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -23,6 +23,7 @@
 
 RunAgentCore::RunAgentCore(RunAgentCoreSettings settings)
     : settings_(std::move(settings))
+    , selection_(settings_.name_, settings_.maxEntries_)
     , fencingToken_(settings_.fencingToken_)
 {
 }
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -2,6 +2,8 @@
 
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Run/AddressTable.h"
+#include "Lagoonpick/Run/ConfigurationFetch.h"
+#include "Lagoonpick/Run/EntrySelection.h"
 #include "Lagoonpick/Run/EntrySession.h"
 #include "Lagoonpick/Run/RunAgentCoreSettings.h"
 #include "Lagoonpick/Run/RunTable.h"
@@ -78,8 +80,10 @@
     const RunAgentCounters& counters() const { return counters_; }
     const TargetState& target() const { return target_; }
     std::size_t runCount() const { return runs_.rows().size(); }
-    /// Addresses of the entries that are connected, were connected recently, or were recently named by other entries.
-    std::set<std::string> entryAddresses(Time now) const;
+    /// Returns the addresses of the entries to keep links to. Chooses them from `listed`, the entries that are connected or were
+    /// recently, and those that other entries named recently. An attached entry that is not chosen any more is included until
+    /// the link carries no run.
+    std::set<std::string> selectEntries(std::set<std::string> listed, Time now);
     std::uint64_t configurationVersion() const { return configuration_.version_; }
 
 private:
@@ -88,6 +92,7 @@
     EntrySession* sessionOf(LinkId link);
     void handle(LinkId, const Wire::EntryHello&, Time now);
     void handle(LinkId, const Wire::RunHeartbeat&, Time now);
+    void handle(LinkId, const Wire::ConfigurationRequest&, Time now);
     void handle(LinkId, const Wire::ConfigurationCopy&, Time now);
     void handle(LinkId, const Wire::EntryAddresses&, Time now);
     void handle(LinkId, const Wire::StartRun&, Time now);
@@ -124,6 +129,11 @@
     void stopOrphan(const RunName& name, Time now);
     void expireLease(Time now);
 
+    /// Marks a session as leaving or as staying.
+    void setLeaving(EntrySession& session, bool isLeaving, Time now);
+    /// True if the link of a session that is leaving carries no runs and no start can be in transit to it.
+    bool canDetach(Incarnation entry, const EntrySession& session, Time now) const;
+    bool hasRunsOf(Incarnation entry) const;
     void checkSessions(Time now);
     /// Detaches a session from its link. The entry's address is kept in `knownEntries_`, so that the agent reconnects.
     void dropLink(EntrySession& session, Time now);
@@ -147,7 +157,9 @@
     /// The entry at the other end of each link that has sent its `EntryHello`.
     std::map<LinkId, Incarnation> links_;
     AddressTable knownEntries_;
+    EntrySelection selection_;
     Wire::ConfigurationCopy configuration_;
+    ConfigurationFetch configurationFetch_;
     std::uint64_t fencingToken_;
     std::uint64_t lastCall_ { 0 };
 
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -19,6 +19,9 @@
 constexpr Duration minTolerableWait = std::chrono::milliseconds(10);
 /// A longer task is queued if it is expected to begin within its expected run time divided by this number.
 constexpr Duration::rep tolerableWaitDivisor = 5;
+/// Time for which a link is kept after the report that the target is closed: starts that the entry sent before it received the
+/// report arrive within this time.
+constexpr Duration detachDelay = std::chrono::seconds(1);
 
 } // namespace
 
@@ -31,8 +34,9 @@
 void RunAgentCore::linkClosed(LinkId link, Time now)
 {
     if (EntrySession* session = sessionOf(link)) {
+        bool hasLeft = canDetach(links_[link], *session, now);
         dropLink(*session, now);
-        log(LogLine("entry_lost").text("entry", session->name_).milliseconds("silent_ms", now - session->lastReceived_));
+        log(LogLine(hasLeft ? "entry_detached" : "entry_lost").text("entry", session->name_).milliseconds("silent_ms", now - session->lastReceived_));
     }
     links_.erase(link);
     openLinks_.erase(link);
@@ -85,23 +89,29 @@
     session.lastReceived_ = now;
     session.nextReport_ = now;
     session.isReportDue_ = true;
-    session.nextHeartbeat_ = now;
-    session.configurationVersion_ = 0;
+    session.lastSent_ = Time();
+    session.leavingSince_.reset();
     for (const auto& ended : session.unconfirmed_)
         send(link, ended);
     log(LogLine("entry_attached").text("entry", hello.name_).number("ends_repeated", session.unconfirmed_.size()));
 }
 
-void RunAgentCore::handle(LinkId link, const Wire::RunHeartbeat& runHeartbeat, Time)
+void RunAgentCore::handle(LinkId link, const Wire::RunHeartbeat& runHeartbeat, Time now)
 {
     EntrySession& session = *sessionOf(link);
-    session.configurationVersion_ = runHeartbeat.configurationVersion_;
     while (!session.unconfirmed_.empty() && session.unconfirmed_.front().sequence_ <= runHeartbeat.highestSeenEnd_)
         session.unconfirmed_.pop_front();
-    if (configuration_.version_ > runHeartbeat.configurationVersion_) {
+    if (configurationFetch_.mustAsk(runHeartbeat.configurationVersion_, configuration_.version_, now))
+        send(link, Wire::ConfigurationRequest { configuration_.version_ });
+    // Shows the newer version to the entry at once: while reports are sent, regular heartbeats are not.
+    if (configuration_.version_ > runHeartbeat.configurationVersion_)
+        send(link, Wire::RunHeartbeat { .configurationVersion_ = configuration_.version_ });
+}
+
+void RunAgentCore::handle(LinkId link, const Wire::ConfigurationRequest& request, Time)
+{
+    if (configuration_.version_ > request.version_)
         send(link, configuration_);
-        session.configurationVersion_ = configuration_.version_;
-    }
 }
 
 void RunAgentCore::handle(LinkId, const Wire::ConfigurationCopy& copy, Time)
@@ -110,12 +120,6 @@
         return;
     configuration_ = copy;
     log(LogLine("configuration_kept").number("version", copy.version_));
-    for (auto& [incarnation, session] : sessions_) {
-        if (session.link_ && session.configurationVersion_ < copy.version_) {
-            send(*session.link_, configuration_);
-            session.configurationVersion_ = copy.version_;
-        }
-    }
 }
 
 void RunAgentCore::handle(LinkId, const Wire::EntryAddresses& entries, Time now)
@@ -124,15 +128,47 @@
         knownEntries_.record(address, now);
 }
 
-std::set<std::string> RunAgentCore::entryAddresses(Time now) const
+std::set<std::string> RunAgentCore::selectEntries(std::set<std::string> listed, Time now)
 {
-    auto recent = knownEntries_.addresses(now);
-    std::set<std::string> all(recent.begin(), recent.end());
+    for (auto& address : knownEntries_.addresses(now))
+        listed.insert(std::move(address));
+    std::set<std::string> connected;
     for (const auto& [incarnation, session] : sessions_) {
         if (session.link_)
-            all.insert(session.address_);
+            connected.insert(session.address_);
+    }
+    listed.insert(connected.begin(), connected.end());
+    std::set<std::string> chosen = selection_.choose(listed, connected, now);
+    std::set<std::string> selected = chosen;
+    for (auto& [incarnation, session] : sessions_) {
+        if (!session.link_)
+            continue;
+        setLeaving(session, !chosen.contains(session.address_), now);
+        if (!canDetach(incarnation, session, now))
+            selected.insert(session.address_);
     }
-    return all;
+    return selected;
+}
+
+void RunAgentCore::setLeaving(EntrySession& session, bool isLeaving, Time now)
+{
+    if (isLeaving == session.leavingSince_.has_value())
+        return;
+    log(LogLine(isLeaving ? "entry_leaving" : "entry_kept").text("entry", session.name_).number("entries", links_.size()));
+    session.leavingSince_ = isLeaving ? std::optional(now) : std::nullopt;
+    session.isReportDue_ = true;
+    session.nextReport_ = now;
+}
+
+bool RunAgentCore::canDetach(Incarnation entry, const EntrySession& session, Time now) const
+{
+    bool hasLeft = session.leavingSince_ && now - *session.leavingSince_ >= detachDelay;
+    return hasLeft && session.unconfirmed_.empty() && !hasRunsOf(entry);
+}
+
+bool RunAgentCore::hasRunsOf(Incarnation entry) const
+{
+    return std::any_of(runs_.rows().begin(), runs_.rows().end(), [entry](const auto& row) { return row.second.entry_ == entry; });
 }
 
 void RunAgentCore::handle(LinkId link, const Wire::StartRun& message, Time now)
@@ -217,8 +253,7 @@
             dropLink(session, now);
         }
         stopRunsOf(incarnation, "entry_silent", now);
-        bool hasRuns = std::any_of(runs_.rows().begin(), runs_.rows().end(), [incarnation](const auto& row) { return row.second.entry_ == incarnation; });
-        if (silence >= settings_.sessionLifetime_ && !hasRuns)
+        if (silence >= settings_.sessionLifetime_ && !hasRunsOf(incarnation))
             sessions_.erase(place);
     }
 }
@@ -226,9 +261,11 @@
 void RunAgentCore::sendHeartbeats(Time now)
 {
     for (auto& [incarnation, session] : sessions_) {
-        if (!session.link_ || now < session.nextHeartbeat_)
+        if (!session.link_ || now - session.lastSent_ < settings_.heartbeatInterval_)
+            continue;
+        if (now - session.lastSent_ < settings_.idleHeartbeatInterval_ && !hasRunsOf(incarnation))
             continue;
-        session.nextHeartbeat_ = now + settings_.heartbeatInterval_;
+        session.lastSent_ = now;
         send(*session.link_, Wire::RunHeartbeat { .configurationVersion_ = configuration_.version_ });
     }
 }
@@ -241,7 +278,7 @@
             continue;
         session.isReportDue_ = false;
         session.nextReport_ = now + settings_.reportInterval_ * static_cast<Duration::rep>(1 + sessions_.size() / 4);
-        session.nextHeartbeat_ = now + settings_.heartbeatInterval_;
+        session.lastSent_ = now;
         if (!common)
             common = report(now);
         sendReport(session, *common);
@@ -251,6 +288,7 @@
 void RunAgentCore::sendReport(const EntrySession& session, Wire::TargetReport report)
 {
     report.highestSeenRun_ = session.highestRun_;
+    report.isOpen_ = report.isOpen_ && !session.leavingSince_;
     send(*session.link_, std::move(report));
 }
 
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -13,7 +13,7 @@
 namespace Lagoonpick::Wire {
 
 /// Protocol version; must be the same at both ends of a link.
-constexpr std::uint32_t runProtocolVersion = 1;
+constexpr std::uint32_t runProtocolVersion = 2;
 
 /// How a run ended.
 enum class RunEnd : std::uint8_t {
@@ -78,7 +78,13 @@
     bool operator==(const RunHeartbeat&) const = default;
 };
 
-/// The operators' configuration as it was published; sent to processes that have an older version.
+/// Asks for the operators' configuration; answered if the receiver has a version newer than `version_`.
+struct ConfigurationRequest {
+    std::uint64_t version_ { 0 };
+    bool operator==(const ConfigurationRequest&) const = default;
+};
+
+/// The operators' configuration as it was published; the answer to a `ConfigurationRequest`, or to the hello of an entry.
 struct ConfigurationCopy {
     std::uint64_t version_ { 0 };
     std::string text_;
@@ -172,7 +178,7 @@
     bool operator==(const TargetReport&) const = default;
 };
 
-using RunMessage = std::variant<EntryHello, AgentHello, RunHeartbeat, ConfigurationCopy, EntryAddresses, StartRun, StopRun, QueryRun,
+using RunMessage = std::variant<EntryHello, AgentHello, RunHeartbeat, ConfigurationRequest, ConfigurationCopy, EntryAddresses, StartRun, StopRun, QueryRun,
     RunEnded, RunStalled, TargetReport>;
 
 } // namespace Lagoonpick::Wire
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -37,6 +37,11 @@
     archive(value.configurationVersion_, value.highestSeenEnd_);
 }
 
+void describe(auto& archive, MaybeConst<ConfigurationRequest> auto& value)
+{
+    archive(value.version_);
+}
+
 void describe(auto& archive, MaybeConst<ConfigurationCopy> auto& value)
 {
     archive(value.version_, value.text_);
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t maxLogBytes = 65'536;
+/// Interval at which the entries to attach to are chosen anew, also while the store is unreachable.
+constexpr Duration linkUpdateInterval = std::chrono::milliseconds(500);
 /// How long an idle connection to the target is kept: longer than the usual time between starts, so that starts reuse it.
 constexpr Duration maxTargetIdleTime = std::chrono::seconds(10);
 /// The time limit of a start or a stop. A start takes a few milliseconds; one that takes 35 ms was not accepted, or its
@@ -165,6 +167,8 @@
     Time now = beginInput();
     core_.tick(now);
     applyEffects();
+    if (now >= nextLinkUpdate_)
+        updateEntryLinks();
     if (settingsFile_.isDue(now))
         reload();
     if (shutdownAt_)
@@ -192,12 +196,13 @@
 void RunAgentHost::updateEntryLinks()
 {
     Time now = clock_.now();
-    auto addresses = core_.entryAddresses(now);
-    for (auto& address : entryDirectory_.addresses(now))
-        addresses.insert(std::move(address));
+    nextLinkUpdate_ = now + linkUpdateInterval;
+    auto listed = entryDirectory_.addresses(now);
+    std::set<std::string> known(listed.begin(), listed.end());
     for (const auto& seed : settings_.seeds_)
-        addresses.insert(addressOnHostOf(seed, settings_.entryLinkAddress_));
-    links_.setPeerAddresses({ addresses.begin(), addresses.end() });
+        known.insert(addressOnHostOf(seed, settings_.entryLinkAddress_));
+    auto selected = core_.selectEntries(std::move(known), now);
+    links_.setPeerAddresses({ selected.begin(), selected.end() });
 }
 
 void RunAgentHost::reload()
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -41,7 +41,7 @@
     boost::asio::awaitable<void> renewLease(LeaseCall call);
     void tick();
     void applyEffects();
-    /// Sets the addresses to keep links to: those that the core and the store give, and the seeds.
+    /// Has the core choose the entries to keep links to from those that it knows, the store lists and the settings name.
     void updateEntryLinks();
     void reload();
     void beginShutdown();
@@ -68,6 +68,7 @@
     HostLoop loop_;
     /// From the sending of a start to the target's answer or the timeout.
     TimeHistogram startDurations_;
+    Time nextLinkUpdate_;
     /// When shutdown began.
     std::optional<Time> shutdownAt_;
 };
--- a/RunAgent/RunAgentSettings.cpp
+++ b/RunAgent/RunAgentSettings.cpp
@@ -12,6 +12,7 @@
     settings.controlAddress_ = reader.address("agent", "control_address");
     settings.metricsAddress_ = reader.address("agent", "metrics_address");
     settings.entryLinkAddress_ = reader.address("agent", "entry_link_address");
+    settings.run_.maxEntries_ = static_cast<std::uint32_t>(reader.number("agent", "max_entries", settings.run_.maxEntries_, 1, 1000));
     settings.seeds_ = splitList(reader.text("agent", "seeds", "-"));
     settings.targetAddress_ = reader.address("target", "address");
     settings.storeAddress_ = reader.address("store", "address");
--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -29,20 +29,22 @@
     double minRelativeUtility_;
 };
 
-void print(const std::string& title, const LoadOutcome& outcome, const LoadOutcome& clairvoyant, double messages)
+void print(const std::string& title, const LoadOutcome& outcome, const LoadOutcome& clairvoyant, double messages, double controlMessages)
 {
     std::cout << title << ": utility " << outcome.utility() << " of " << clairvoyant.utility();
     std::cout << "; in time " << outcome.inTimeShare(0) << " " << outcome.inTimeShare(1) << " " << outcome.inTimeShare(2);
     std::cout << " of " << clairvoyant.inTimeShare(0) << " " << clairvoyant.inTimeShare(1) << " " << clairvoyant.inTimeShare(2);
     std::cout << "; late " << outcome.lateShare(0) << " " << outcome.lateShare(1) << " " << outcome.lateShare(2);
     std::cout << "; rejected " << outcome.rejectedShare(0) << " " << outcome.rejectedShare(1) << " " << outcome.rejectedShare(2);
-    std::cout << "; messages per task " << messages << "\n";
+    std::cout << "; messages per task " << messages << ", of control " << controlMessages << "\n";
 }
 
 /// Plays a load with several seeds. Checks the mean utility against that of a clairvoyant scheduler, and each kind's share of
 /// jobs in time against that of all jobs.
 void check(const LoadCase& loadCase)
 {
+    if (const char* row = std::getenv("LOAD_REPLAY_ROW"); row && row != loadCase.load_.name_)
+        return;
     const bool shouldPrint = std::getenv("LOAD_REPLAY_PRINT") != nullptr;
     const std::uint64_t first = numberFromEnvironment("LOAD_REPLAY_FIRST_SEED", 1);
     const std::uint64_t count = numberFromEnvironment("LOAD_REPLAY_SEEDS", 3);
@@ -57,7 +59,7 @@
         utility += outcome.utility();
         clairvoyantUtility += clairvoyant.utility();
         if (shouldPrint)
-            print(loadCase.load_.name_ + ", seed " + std::to_string(seed), outcome, clairvoyant, static_cast<double>(world.taskMessages()) / static_cast<double>(world.tasksStarted()));
+            print(loadCase.load_.name_ + ", seed " + std::to_string(seed), outcome, clairvoyant, static_cast<double>(world.taskMessages()) / static_cast<double>(world.tasksStarted()), static_cast<double>(world.controlMessages()) / static_cast<double>(world.tasksStarted()));
         for (std::size_t kind = 0; kind < plan.kinds_.size(); ++kind) {
             INFO(loadCase.load_.name_ << ", seed " << seed << ", kind " << plan.kinds_[kind].name_);
             CHECK(outcome.inTimeShare(kind) >= minRelativeShareOfKind * outcome.overallInTimeShare());
@@ -85,6 +87,17 @@
     check(loadCase);
 }
 
+TEST_CASE("In a large fleet, where each entry sees a part of the agents, the utility is close to a clairvoyant scheduler's", "[LoadReplayOfLargeFleet]")
+{
+    auto loadCase = GENERATE_COPY(values<LoadCase>({
+        { { "large fleet, calm", 0.8, {}, 240, 55 }, minRelativeUtilityBelowCapacity },
+        { { "large fleet, burst of all kinds", 0.85, { burst }, 240, 55 }, minRelativeUtilityOverCapacity },
+        { { "large fleet, slow targets", 0.7, { slowTargets }, 240, 55 }, minRelativeUtilityBelowCapacity },
+    }));
+    loadCase.load_.maxEntries_ = static_cast<std::uint32_t>(numberFromEnvironment("LOAD_REPLAY_MAX_ENTRIES", loadCase.load_.maxEntries_));
+    check(loadCase);
+}
+
 TEST_CASE("Under a burst with slow targets and leaving callers the utility is close to a clairvoyant scheduler's", "[LoadReplayOfThree]")
 {
     const LoadPhase leavingCallers { Disturbance::LeavingCallers, disturbanceStart, disturbanceEnd, 0.35, 1, {} };
--- a/UnitTests/Runs/RunAgentCoreTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreTest.cpp
@@ -159,14 +159,14 @@
     RunAgentFixture agent;
     agent.core_.receive(link, Wire::EntryAddresses { { "10.0.0.9:1" } }, agent.now_);
     for (int second = 0; second <= 60; ++second) {
-        CHECK(agent.core_.entryAddresses(agent.now_) == both);
+        CHECK(agent.core_.selectEntries({}, agent.now_) == both);
         agent.advanceWithHeartbeats(std::chrono::seconds(1));
     }
-    CHECK(agent.core_.entryAddresses(agent.now_) == attached);
+    CHECK(agent.core_.selectEntries({}, agent.now_) == attached);
     agent.advance(std::chrono::seconds(60));
-    CHECK(agent.core_.entryAddresses(agent.now_) == attached);
+    CHECK(agent.core_.selectEntries({}, agent.now_) == attached);
     agent.advance(std::chrono::seconds(61));
-    CHECK(agent.core_.entryAddresses(agent.now_).empty());
+    CHECK(agent.core_.selectEntries({}, agent.now_).empty());
 }
 
 TEST_CASE("A query for an unknown run is answered as not started")
--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t targetCount = 12;
 /// A disturbance affects consecutive targets that begin with the first of a rack.
 constexpr std::size_t targetsPerRack = 3;
 constexpr Duration loadDuration = std::chrono::seconds(14);
@@ -109,7 +108,7 @@
 std::vector<PlannedTarget> generateTargets(const RunLoad& load, std::mt19937_64& random)
 {
     std::vector<PlannedTarget> targets;
-    for (std::size_t i = 0; i < targetCount; ++i) {
+    for (std::size_t i = 0; i < load.targetCount_; ++i) {
         // Targets differ in size and speed, like hardware of several generations.
         std::uint32_t milliCores = 12'000 + 4'000 * static_cast<std::uint32_t>(i % 3);
         targets.push_back({ { milliCores, 32'000, 0 }, 0.9 + 0.1 * static_cast<double>(i % 4), {} });
@@ -118,10 +117,10 @@
         const LoadPhase& loadPhase = load.phases_[phase];
         if (!affectsTargets(loadPhase.disturbance_))
             continue;
-        std::size_t count = static_cast<std::size_t>(std::lround(loadPhase.share_ * targetCount));
-        std::size_t first = std::uniform_int_distribution<std::size_t>(0, targetCount / targetsPerRack - 1)(random) * targetsPerRack;
+        std::size_t count = static_cast<std::size_t>(std::lround(loadPhase.share_ * static_cast<double>(load.targetCount_)));
+        std::size_t first = std::uniform_int_distribution<std::size_t>(0, load.targetCount_ / targetsPerRack - 1)(random) * targetsPerRack;
         for (std::size_t i = 0; i < count; ++i)
-            targets[(first + i) % targetCount].phases_.push_back(phase);
+            targets[(first + i) % load.targetCount_].phases_.push_back(phase);
     }
     return targets;
 }
--- a/UnitTests/Runs/RunLoad.h
+++ b/UnitTests/Runs/RunLoad.h
@@ -56,6 +56,10 @@
     /// Mean utilization of the targets without disturbances, as a share of their capacity.
     double level_ { 0.8 };
     std::vector<LoadPhase> phases_;
+    std::size_t targetCount_ { 12 };
+    std::size_t entryCount_ { 4 };
+    /// Number of entries that each agent attaches to.
+    std::uint32_t maxEntries_ { 4 };
 };
 
 /// A job of a plan, including what no entry can know in advance.
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -18,9 +18,10 @@
 
 constexpr std::size_t entryCount = 3;
 constexpr std::size_t agentCount = 4;
-constexpr std::size_t plannedEntryCount = 4;
 constexpr Duration tickInterval = milliseconds(20);
 constexpr Duration faultInterval = milliseconds(100);
+/// Interval at which an agent chooses its entries.
+constexpr Duration selectionInterval = milliseconds(500);
 /// A process that handled no input for longer was suspended.
 constexpr Duration maxSuspension = milliseconds(400);
 constexpr Duration heartbeatInterval = milliseconds(1500);
@@ -46,8 +47,9 @@
     , random_(seed)
     , now_(milliseconds(1'000'000))
 {
-    for (std::size_t i = 0; i < (plan_ ? plannedEntryCount : entryCount); ++i) {
+    for (std::size_t i = 0; i < (plan_ ? plan_->load_.entryCount_ : entryCount); ++i) {
         entries_.push_back(std::make_unique<Entry>());
+        entries_.back()->address_ = "10.0.0." + std::to_string(i + 1) + ":1";
         startEntry(*entries_.back());
     }
     for (std::size_t i = 0; i < (plan_ ? plan_->targets_.size() : agentCount); ++i) {
@@ -105,7 +107,7 @@
     JobEntryCoreSettings settings;
     settings.name_ = "entry";
     settings.incarnation_ = Incarnation(++lastIncarnation_);
-    settings.linkAddress_ = "10.0.0.1:1";
+    settings.linkAddress_ = entry.address_;
     entry.core_ = std::make_unique<JobEntryCore>(settings, random_());
     std::vector<QueueRule> rules { { .name_ = "queue", .host_ = "host", .prefix_ = "/queue/", .service_ = "service", .maxAttempts_ = 2, .slackFactor_ = 1.6, .allowance_ = milliseconds(60) } };
     for (const auto& kind : plan_ ? plan_->kinds_ : std::vector<JobKind>()) {
@@ -118,7 +120,7 @@
     entry.lastInputAt_ = now_;
     std::uint64_t incarnation = ++entry.incarnationCount_;
     for (auto& agent : agents_) {
-        if (agent->isUp_)
+        if (agent->isUp_ && agent->selected_.contains(entry.address_))
             connect(entry, *agent);
     }
     auto tick = std::make_shared<std::function<void()>>();
@@ -136,15 +138,22 @@
     RunAgentCoreSettings settings;
     settings.name_ = "agent-" + std::to_string(agent.index_);
     settings.incarnation_ = Incarnation(++lastIncarnation_);
+    settings.maxEntries_ = plan_ ? plan_->load_.maxEntries_ : faults_.maxEntries_;
     settings.fencingToken_ = static_cast<std::uint64_t>(toUnixMilliseconds(now_) + agent.clockOffsetMs_);
     agent.core_ = std::make_unique<RunAgentCore>(settings);
     agent.isUp_ = true;
     agent.lastInputAt_ = now_;
     std::uint64_t incarnation = ++agent.incarnationCount_;
-    for (auto& entry : entries_) {
-        if (entry->isUp_)
-            connect(*entry, agent);
-    }
+    agent.selected_.clear();
+    auto selections = std::make_shared<std::function<void()>>();
+    *selections = [this, &agent, incarnation, selections] {
+        if (agent.incarnationCount_ != incarnation || !agent.isUp_)
+            return;
+        if (now_ >= agent.suspendedUntil_)
+            selectEntries(agent);
+        at(now_ + selectionInterval, *selections);
+    };
+    (*selections)();
     auto tick = std::make_shared<std::function<void()>>();
     *tick = [this, &agent, incarnation, tick] {
         if (agent.incarnationCount_ != incarnation || !agent.isUp_)
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -36,6 +36,10 @@
     double answerLoss_ { 0 };
     /// The target is set to fail either all its tasks or no more of them, with equal probability.
     double targetFailure_ { 0 };
+    /// An agent does not know a random entry for up to 4 s, so that it attaches to others and returns later.
+    double entryHidden_ { 0 };
+    /// Number of entries that an agent attaches to; with fewer than there are, attachments change when entries are lost.
+    std::uint32_t maxEntries_ { RunAgentCoreSettings().maxEntries_ };
     /// Share of requests whose callers disconnect within 0.3 s.
     double callerDisconnect_ { 0 };
     /// Mean utilization of the targets, as a share of their capacity.
@@ -68,6 +72,8 @@
     std::uint64_t tasksStarted() const { return tasksStarted_; }
     /// Number of messages between entries and agents that start, stop or end a run.
     std::uint64_t taskMessages() const { return taskMessages_; }
+    /// Number of all other messages between entries and agents.
+    std::uint64_t controlMessages() const { return controlMessages_; }
 
 private:
     struct Link;
@@ -125,8 +131,11 @@
     void sendLease(Agent& agent, const LeaseCall& call);
     void recordCall(Agent& agent, Duration timeout, std::function<void()> onNoAnswer);
     void resetCalls(Agent& agent);
+    /// Has an agent choose its entries anew: connects it to those that are new and closes its links to those that it left.
+    void selectEntries(Agent& agent);
     void connect(Entry& entry, Agent& agent);
-    /// Closes a link, notifies the given ends and connects the two again later, unless one of them has restarted.
+    /// Closes a link, notifies the given ends and connects the two again later, unless one of them has restarted or the agent
+    /// has chosen other entries.
     void closeLink(Link& link, bool notifiesEntry, bool notifiesAgent);
     void transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message);
     std::shared_ptr<Link> findLink(LinkId id) const;
@@ -186,6 +195,7 @@
     std::uint64_t jobsSent_ { 0 };
     std::uint64_t tasksStarted_ { 0 };
     std::uint64_t taskMessages_ { 0 };
+    std::uint64_t controlMessages_ { 0 };
 };
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -70,6 +70,10 @@
             killAgent(*agent);
         else if (chance(faults_.agentSuspension_))
             agent->suspendedUntil_ = std::max(agent->suspendedUntil_, now_ + randomDuration(milliseconds(100), milliseconds(3000)));
+        if (faults_.entryHidden_ > 0 && chance(faults_.entryHidden_)) {
+            agent->hiddenEntry_ = entries_[random_() % entries_.size()]->address_;
+            agent->hiddenUntil_ = now_ + randomDuration(milliseconds(500), milliseconds(4000));
+        }
         injectTargetFaults(*agent);
         agent->target_->advance(now_);
         if (agent->target_->wasOvercommitted())
--- a/UnitTests/Runs/RunWorldLinks.cpp
+++ b/UnitTests/Runs/RunWorldLinks.cpp
@@ -8,6 +8,25 @@
 
 using std::chrono::milliseconds;
 
+void RunWorld::selectEntries(Agent& agent)
+{
+    std::set<std::string> listed;
+    for (const auto& entry : entries_) {
+        if (now_ >= agent.hiddenUntil_ || entry->address_ != agent.hiddenEntry_)
+            listed.insert(entry->address_);
+    }
+    auto former = std::exchange(agent.selected_, agent.core_->selectEntries(std::move(listed), now_));
+    for (const auto& entry : entries_) {
+        bool isNew = agent.selected_.contains(entry->address_) && !former.contains(entry->address_);
+        if (isNew && entry->isUp_)
+            connect(*entry, agent);
+    }
+    for (const auto& [id, link] : std::map(links_)) {
+        if (link->agent_ == &agent && !agent.selected_.contains(link->entry_->address_))
+            closeLink(*link, true, true);
+    }
+}
+
 void RunWorld::connect(Entry& entry, Agent& agent)
 {
     auto link = std::make_shared<Link>(Link { LinkId(++lastLink_), &entry, &agent, entry.incarnationCount_, agent.incarnationCount_ });
@@ -45,7 +64,7 @@
         at(now_ + linkDelay, closeAgent);
     Duration reconnectDelay = link.isCut_ ? milliseconds(1500) : randomDuration(milliseconds(25), milliseconds(100));
     at(now_ + reconnectDelay, [this, &entry, &agent, entryIncarnation, agentIncarnation] {
-        if (entry.isUp_ && agent.isUp_ && entry.incarnationCount_ == entryIncarnation && agent.incarnationCount_ == agentIncarnation)
+        if (entry.isUp_ && agent.isUp_ && entry.incarnationCount_ == entryIncarnation && agent.incarnationCount_ == agentIncarnation && agent.selected_.contains(entry.address_))
             connect(entry, agent);
     });
     links_.erase(id);
@@ -55,7 +74,8 @@
 {
     if (!link || !link->isOpen_)
         return;
-    taskMessages_ += std::holds_alternative<Wire::StartRun>(message) || std::holds_alternative<Wire::RunEnded>(message) || std::holds_alternative<Wire::StopRun>(message);
+    bool isOfTask = std::holds_alternative<Wire::StartRun>(message) || std::holds_alternative<Wire::RunEnded>(message) || std::holds_alternative<Wire::StopRun>(message);
+    (isOfTask ? taskMessages_ : controlMessages_) += 1;
     if (link->isCut_) {
         link->heldMessages_.emplace_back(toAgent, std::move(message));
         return;
--- a/UnitTests/Runs/RunWorldParts.h
+++ b/UnitTests/Runs/RunWorldParts.h
@@ -29,6 +29,7 @@
 
 /// An entry process.
 struct RunWorld::Entry {
+    std::string address_;
     std::unique_ptr<JobEntryCore> core_;
     /// Number of starts of the process; identifies its incarnation.
     std::uint64_t incarnationCount_ { 0 };
@@ -59,6 +60,11 @@
     std::int64_t clockOffsetMs_ { 0 };
     /// Inputs that arrived while the process was suspended.
     std::vector<std::function<void()>> pendingInputs_;
+    /// Addresses of the entries that the agent keeps links to.
+    std::set<std::string> selected_;
+    /// Address of an entry that the agent does not know, and until when.
+    std::string hiddenEntry_;
+    Time hiddenUntil_;
     /// Pending calls to the target: when they time out, and what is run if their connections are reset before.
     std::vector<std::pair<Time, std::function<void()>>> pendingCalls_;
 };
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -77,6 +77,7 @@
         Wire::EntryHello { .incarnation_ = Incarnation(5), .name_ = "e", .availabilityZone_ = "z", .address_ = "10.0.0.1:1" },
         Wire::AgentHello { .incarnation_ = Incarnation(6), .name_ = "a", .availabilityZone_ = "z" },
         Wire::RunHeartbeat { 3, 4 },
+        Wire::ConfigurationRequest { 8 },
         Wire::ConfigurationCopy { 9, "text" },
         Wire::EntryAddresses { { "10.0.0.1:1", "10.0.0.2:1" } },
         Wire::StartRun { 1, "job.0.0.1", 2, "payload", { 1, 2, 3 }, 4, 5, -6, 7 },
