An entry notices the loss of its own key; operators see attachments

lagoonpick-ctl, dumps and metrics show how many entries an agent is attached to, how many agents an entry sees and how old its oldest report is; lagoonpick_agents counts linked agents only, as its help says. Comment of LeaseTiming made to agree with its arithmetic.

--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -48,22 +48,34 @@
     return value && value->is_bool() && value->get_bool();
 }
 
+json::array readArray(const json::object& object, std::string_view name)
+{
+    const auto* member = object.if_contains(name);
+    return member && member->is_array() ? member->get_array() : json::array();
+}
+
 /// An entry on the users' platform. Its dump counts open jobs, shown as running, and lists its agents with the state of their
 /// targets.
 std::string writeJobEntryRow(const std::string& address, const json::object& object)
 {
-    json::array none;
-    const auto* member = object.if_contains("agents");
-    const json::array& agents = member && member->is_array() ? member->get_array() : none;
+    const json::array agents = readArray(object, "agents");
     auto open = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "linked") && isTrue(row, "open"); });
+    std::int64_t oldestReport = 0;
+    for (const auto& row : agents) {
+        const auto* age = row.is_object() ? row.get_object().if_contains("report_age_ms") : nullptr;
+        if (isTrue(row, "linked") && age && age->is_int64())
+            oldestReport = std::max(oldestReport, age->get_int64());
+    }
     auto suspect = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "suspect"); });
     return writeRow({ address, "entry", formatValue(object, "entry"), "configuration " + formatValue(object, "configuration"), formatValue(object, "ready") == "true" ? "serving" : "not ready", "-", formatValue(object, "jobs"),
-        fmt::format("{} of {} targets open, {} suspect", open, agents.size(), suspect) });
+        fmt::format("{} of {} targets open, {} suspect, oldest report {} ms", open, agents.size(), suspect, oldestReport) });
 }
 
 std::string writeRunAgentRow(const std::string& address, const json::object& object)
 {
-    return writeRow({ address, "agent", formatValue(object, "agent"), "configuration " + formatValue(object, "configuration"), conditionOf(object), "-", formatValue(object, "runs"), "target " + formatValue(object, "target") });
+    const json::array entries = readArray(object, "entries");
+    auto linked = std::count_if(entries.begin(), entries.end(), [](const auto& row) { return isTrue(row, "linked"); });
+    return writeRow({ address, "agent", formatValue(object, "agent"), "configuration " + formatValue(object, "configuration"), conditionOf(object), "-", formatValue(object, "runs"), fmt::format("target {}, {} of {} entries linked", formatValue(object, "target"), linked, entries.size()) });
 }
 
 std::string writeProcessRow(const ProcessState& state)
--- a/JobEntry/EntryRegistration.cpp
+++ b/JobEntry/EntryRegistration.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonpick/Core/StoreKeys.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -77,8 +78,10 @@
             leaseId_.clear();
         co_return false;
     }
-    auto found = co_await store_.list(key_);
-    if (found && found.value().empty())
+    auto listed = co_await store_.list(key_);
+    // The list also holds the entries whose names begin with this one's.
+    auto isOwn = [this](const auto& item) { return item.key_ == key_; };
+    if (listed && std::none_of(listed.value().begin(), listed.value().end(), isOwn))
         leaseId_.clear();
     co_return !leaseId_.empty();
 }
--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -237,8 +237,9 @@
 std::string JobEntryHost::dumpState() const
 {
     std::string agents;
+    Time now = clock_.now();
     for (const auto& [incarnation, agent] : core_.agents())
-        agents += fmt::format("{}{{\"agent\":\"{}\",\"linked\":{},\"open\":{},\"suspect\":{},\"used\":{},\"capacity\":{},\"runs\":{}}}", agents.empty() ? "" : ",", agent.name_, agent.link_.has_value(), agent.report_.isOpen_, agent.report_.isSuspect_, agent.report_.used_.milliCores_, agent.report_.capacity_.milliCores_, agent.runs_.size());
+        agents += fmt::format("{}{{\"agent\":\"{}\",\"availability_zone\":\"{}\",\"report_age_ms\":{},\"linked\":{},\"open\":{},\"suspect\":{},\"used\":{},\"capacity\":{},\"runs\":{}}}", agents.empty() ? "" : ",", agent.name_, agent.availabilityZone_, (now - agent.reportedAt_) / std::chrono::milliseconds(1), agent.link_.has_value(), agent.report_.isOpen_, agent.report_.isSuspect_, agent.report_.used_.milliCores_, agent.report_.capacity_.milliCores_, agent.runs_.size());
     return fmt::format("{{\"entry\":\"{}\",\"ready\":{},\"configuration\":{},\"jobs\":{},\"agents\":[{}]}}", settings_.job_.name_, core_.isReady(), core_.configurationVersion(), core_.jobCount(), agents);
 }
 
--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -25,7 +25,7 @@
     writeMetricHeader(text, "lagoonpick_configuration_version", "gauge", "The version of the configuration in force.");
     writeMetric(text, "lagoonpick_configuration_version", "", static_cast<double>(core.configurationVersion()));
     writeMetricHeader(text, "lagoonpick_agents", "gauge", "Agents with a link.");
-    writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.agents().size()));
+    writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.linkedAgentCount()));
     writeMetricHeader(text, "lagoonpick_connections_closed_total", "counter", "Callers' connections that were closed because there was no room for more.");
     writeMetric(text, "lagoonpick_connections_closed_total", "", static_cast<double>(front.connectionsClosedAtLimit()));
     writeProcessMetrics(text, log, store.calls(), store.failures());
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -88,6 +88,7 @@
     std::uint64_t configurationVersion() const { return queues_.version(); }
     std::size_t jobCount() const { return jobs_.size(); }
     const AgentTable& agents() const { return agents_; }
+    std::size_t linkedAgentCount() const { return links_.size(); }
     const JobEntryCounters& counters() const { return counters_; }
     const TimeHistogram& jobTimes() const { return jobTimes_; }
 
--- a/Lagoonpick/Run/LeaseTiming.cpp
+++ b/Lagoonpick/Run/LeaseTiming.cpp
@@ -13,7 +13,7 @@
     const Duration margin = std::chrono::milliseconds(36);
     LeaseTiming times;
     times.stopTimeout_ = stopTimeout;
-    // A quarter of the resend interval is left for the time until the last renewal of a lease is recognized as the last.
+    // Two fifths are left for the time until the last renewal of a lease is recognized as the last.
     times.lease_ = std::min(maxLease * 7 / 10, (resendInterval - stopTimeout) * 3 / 5);
     times.entryTimeout_ = std::min<Duration>((resendInterval - stopTimeout) * 2 / 5, times.lease_);
     Duration longest = std::max<Duration>(times.lease_ + times.lease_ * maxClockDriftPercent / percent, times.entryTimeout_);
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -79,6 +79,8 @@
 
     const RunAgentCounters& counters() const { return counters_; }
     const TargetState& target() const { return target_; }
+    const std::map<Incarnation, EntrySession>& sessions() const { return sessions_; }
+    std::size_t linkedEntryCount() const { return links_.size(); }
     std::size_t runCount() const { return runs_.rows().size(); }
     /// Returns the addresses of the entries to keep links to. Chooses them from `listed`, the entries that are connected or were
     /// recently, and those that other entries named recently. An attached entry that is not chosen any more is included until
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -242,7 +242,10 @@
 std::string RunAgentHost::dumpState() const
 {
     const TargetHeartbeat& heartbeat = core_.target().heartbeat();
-    return fmt::format("{{\"agent\":\"{}\",\"target\":\"{}\",\"born_ms\":{},\"draining\":{},\"runs\":{},\"configuration\":{}}}", settings_.run_.name_, heartbeat.incarnation_.id_, heartbeat.incarnation_.startedAt_, heartbeat.isDraining_, core_.runCount(), core_.configurationVersion());
+    std::string entries;
+    for (const auto& [incarnation, session] : core_.sessions())
+        entries += fmt::format("{}{{\"entry\":\"{}\",\"address\":\"{}\",\"linked\":{},\"leaving\":{}}}", entries.empty() ? "" : ",", session.name_, session.address_, session.link_.has_value(), session.leavingSince_.has_value());
+    return fmt::format("{{\"agent\":\"{}\",\"target\":\"{}\",\"born_ms\":{},\"draining\":{},\"runs\":{},\"configuration\":{},\"entries\":[{}]}}", settings_.run_.name_, heartbeat.incarnation_.id_, heartbeat.incarnation_.startedAt_, heartbeat.isDraining_, core_.runCount(), core_.configurationVersion(), entries);
 }
 
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -24,6 +24,8 @@
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
     writeMetricHeader(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
+    writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
+    writeMetric(text, "lagoonpick_entries", "", static_cast<double>(core.linkedEntryCount()));
     writeProcessMetrics(text, log, store.calls(), store.failures());
     startDurations.write(text, "lagoonpick_start_seconds", "From a start's sending to the target's answer.");
     return text;
--- a/StandIns/KeyValueStore.h
+++ b/StandIns/KeyValueStore.h
@@ -51,14 +51,15 @@
     /// Ends the leases that have expired and deletes their keys.
     void expire(std::int64_t now);
 
+    /// Deletes a key.
+    void erase(const std::string& key);
+
 private:
     struct Lease {
         std::int64_t ttlMilliseconds_;
         std::int64_t expiresAt_;
     };
 
-    void erase(const std::string& key);
-
     std::int64_t revision_ { 1 };
     std::int64_t lastLease_ { 1000 };
     std::map<std::string, StoredKey> keys_;
--- a/StandIns/UsersStoreStandIn.cpp
+++ b/StandIns/UsersStoreStandIn.cpp
@@ -87,6 +87,8 @@
 {
     if (request.path_ == "/standin/put")
         store_.put(parseQuery(request.query_)["key"], request.body_, 0);
+    else if (request.path_ == "/standin/remove")
+        store_.erase(parseQuery(request.query_)["key"]);
     else if (request.path_ == "/standin/fault")
         fault_ = parsePlatformFault(request.body_);
     else
--- a/StandIns/UsersStoreStandIn.h
+++ b/StandIns/UsersStoreStandIn.h
@@ -10,7 +10,8 @@
 namespace Lagoonpick::StandIns {
 
 /// Stand-in for the store of the users' platform: the calls that the system makes there. `POST /standin/fault` sets a
-/// `PlatformFault`, and `POST /standin/put?key=K` writes a key as an operator would. Used on the thread that runs
+/// `PlatformFault`, and `POST /standin/put?key=K` writes a key as an operator would, and `POST
+/// /standin/remove?key=K` removes one. Used on the thread that runs
 /// `context`.
 class UsersStoreStandIn {
 public:
