--- a/Soak/SoakSystem.cpp
+++ b/Soak/SoakSystem.cpp
@@ -2,6 +2,7 @@
 
 #include "ContractTests/Support/Caller.h"
 #include "Lagoonpick/Configuration/CommandLine.h"
+#include "Lagoonpick/Run/EntrySelection.h"
 
 #include <csignal>
 #include <fmt/format.h>
@@ -21,6 +22,7 @@
 
 SoakSystem::SoakSystem(SoakSize size)
     : entryDescriptors_(size.entryDescriptors_)
+    , maxEntries_(size.maxEntries_)
     , storeAddress_(findFreeAddress())
     , storeRelayAddress_(findFreeAddress())
     , entries_(size.entries_)
@@ -37,6 +39,7 @@
         entry.relay_ = std::make_unique<Relay>(entry.relayAddress_, entry.linkAddress_);
         startEntry(i);
     }
+    nameAgents();
     for (std::size_t i = 0; i < agents_.size(); ++i) {
         Agent& agent = agents_[i];
         for (auto* address : { &agent.controlAddress_, &agent.metricsAddress_, &agent.targetAddress_, &agent.relayAddress_ })
@@ -48,6 +51,30 @@
     }
 }
 
+void SoakSystem::nameAgents()
+{
+    // The choices depend on the names and on the addresses, which differ from run to run. With few agents for many entries no
+    // names may do.
+    constexpr int maxRounds = 1000;
+    int round = 0;
+    do {
+        for (std::size_t i = 0; i < agents_.size(); ++i)
+            agents_[i].name_ = fmt::format("agent-{}-{}", i, round);
+        ++round;
+    } while (round < maxRounds && !isEachEntryChosen());
+}
+
+bool SoakSystem::isEachEntryChosen() const
+{
+    std::set<std::string> addresses;
+    for (const auto& entry : entries_)
+        addresses.insert(entry.relayAddress_);
+    std::set<std::string> chosen;
+    for (const auto& agent : agents_)
+        chosen.merge(EntrySelection(agent.name_, maxEntries_).choose(addresses, {}, Time()));
+    return chosen == addresses;
+}
+
 void SoakSystem::configure(std::uint64_t version) const
 {
     Contract::call(storeAddress_, "POST", "/standin/put?key=op%2Fconfig", fmt::format(configuration, version));
@@ -78,9 +105,9 @@
 void SoakSystem::startAgent(std::size_t i)
 {
     Agent& agent = agents_[i];
-    auto text = fmt::format("[agent]\nname = agent-{}\navailability_zone = zone-a\ncontrol_address = {}\nmetrics_address = {}\n"
+    auto text = fmt::format("[agent]\nname = {}\nmax_entries = {}\navailability_zone = zone-a\ncontrol_address = {}\nmetrics_address = {}\n"
                             "entry_link_address = 127.0.0.1:1\nseeds = -\n[target]\naddress = {}\n[store]\naddress = {}\n",
-        i, agent.controlAddress_, agent.metricsAddress_, agent.relayAddress_, storeRelayAddress_);
+        agent.name_, maxEntries_, agent.controlAddress_, agent.metricsAddress_, agent.relayAddress_, storeRelayAddress_);
     auto file = folder_.write(fmt::format("agent-{}.ini", i), text);
     agent.log_.path_ = fmt::format("{}/agent-{}.log", folder_.path(), i);
     markIncarnationStart(agent.log_);
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -12,6 +12,8 @@
 struct SoakSize {
     std::size_t entries_ { 3 };
     std::size_t agents_ { 4 };
+    /// Number of entries that an agent attaches to: fewer than there are, so that attachments change under faults.
+    std::size_t maxEntries_ { 2 };
     /// File descriptors that an entry may have open: the limit of its process, and the one in its settings.
     std::uint64_t entryDescriptors_ { 4096 };
 };
@@ -71,6 +73,10 @@
         std::size_t incarnationOffset_ { 0 };
     };
 
+    /// Names the agents such that each entry is among the choices of one of them while all entries can be reached.
+    void nameAgents();
+    bool isEachEntryChosen() const;
+
     static void markIncarnationStart(LogFile& log);
     static bool waitForCleanExit(Contract::Process& process, const LogFile& log, int seconds);
 
@@ -86,6 +92,7 @@
     };
 
     struct Agent {
+        std::string name_;
         LogFile log_;
         std::string controlAddress_;
         std::string metricsAddress_;
@@ -98,6 +105,7 @@
 
     Contract::TemporaryFolder folder_;
     std::uint64_t entryDescriptors_;
+    std::size_t maxEntries_;
     std::string storeAddress_;
     std::string storeRelayAddress_;
     std::unique_ptr<Contract::Process> storeProcess_;
