An agent doesn't join before it can read the fence list; teams beyond the limit share a place of their own

Registrar: a malformed entries' table counted as an empty list of fences, so a fenced entry's starts were accepted; the agent now waits. FairQueue: further teams shared the last team's place and weight; they now have one place of weight 1, whose weight can't be set.

--- a/Agent/Registrar.cpp
+++ b/Agent/Registrar.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
 
 namespace Lagoonpick {
 
@@ -20,6 +21,20 @@
     return found == range.items_.end() ? nullptr : &*found;
 }
 
+/// The fenced entries in the entries' table; nothing if the table is malformed.
+std::optional<std::vector<Incarnation>> decodeFenced(const PlatformRange& range)
+{
+    PlatformView view;
+    for (const auto& item : range.items_) {
+        if (!view.apply(item.key_, item.value_, item.revision_))
+            return std::nullopt;
+    }
+    std::vector<Incarnation> fenced;
+    for (const auto& entry : view.membership_.fenced_)
+        fenced.push_back(entry.incarnation_);
+    return fenced;
+}
+
 } // namespace
 
 Registrar::Registrar(asio::io_context& context, PlatformClient& client, Registration registration)
@@ -68,17 +83,12 @@
 {
     while (true) {
         auto range = co_await client_.range(PlatformKeys::membership);
-        if (range) {
-            std::vector<Incarnation> fenced;
-            PlatformView view;
-            for (const auto& item : range.value().items_) {
-                if (!view.apply(item.key_, item.value_, item.revision_))
-                    Log::error("the entries' table is malformed; its fence list is ignored");
-            }
-            for (const auto& entry : view.membership_.fenced_)
-                fenced.push_back(entry.incarnation_);
-            co_return fenced;
-        }
+        auto fenced = range ? decodeFenced(range.value()) : std::nullopt;
+        if (fenced)
+            co_return std::move(*fenced);
+        // Without the list, starts of a fenced entry would be accepted.
+        if (range)
+            Log::error("the entries' table is malformed; this agent does not join before its fence list can be read");
         co_await waitBeforeRetry();
     }
 }
--- a/ContractTests/PlatformTest.cpp
+++ b/ContractTests/PlatformTest.cpp
@@ -1,3 +1,4 @@
+#include "Agent/Registrar.h"
 #include "ContractTests/Support/Process.h"
 #include "Lagoonpick/Platform/PlatformClient.h"
 #include "Lagoonpick/Platform/PlatformWatcher.h"
@@ -103,6 +104,31 @@
     });
 }
 
+TEST_CASE("An agent does not join while the fence list can't be read", "[Platform]")
+{
+    PlatformFixture fixture;
+    Registration registration { .target_ = "target", .service_ = "service", .availabilityZone_ = "a", .address_ = "10.0.0.1:1", .agent_ = Incarnation(1), .registeredAt_ = {}, .ledgerLostAt_ = {} };
+    Registrar registrar(fixture.context_, fixture.client_, registration);
+    std::optional<std::vector<Incarnation>> fenced;
+    fixture.run([&]() -> asio::awaitable<void> {
+        CompareAndSwap malformed { PlatformKeys::membership, 0, "{" };
+        REQUIRE(co_await fixture.client_.compareAndSwap(std::move(malformed)) == WriteOutcome::Written);
+        auto enroll = [&]() -> asio::awaitable<void> { fenced = co_await registrar.enroll([] { return Time(std::chrono::hours(1)); }); };
+        asio::co_spawn(fixture.context_, enroll, asio::detached);
+        co_await fixture.pause(1000);
+        CHECK_FALSE(fenced.has_value());
+        Membership table;
+        table.fenced_.push_back({ .incarnation_ = Incarnation(9) });
+        auto range = co_await fixture.client_.range(PlatformKeys::membership);
+        REQUIRE(range);
+        CompareAndSwap readable { PlatformKeys::membership, range.value().items_.at(0).revision_, writeMembership(table) };
+        REQUIRE(co_await fixture.client_.compareAndSwap(std::move(readable)) == WriteOutcome::Written);
+        co_await fixture.pause(1000);
+    });
+    REQUIRE(fenced.has_value());
+    CHECK(*fenced == std::vector { Incarnation(9) });
+}
+
 TEST_CASE("A key under a lease is deleted when the lease expires or is revoked", "[Platform]")
 {
     bool isRevoked = GENERATE(true, false);
--- a/Lagoonpick/Dispatch/FairQueue.cpp
+++ b/Lagoonpick/Dispatch/FairQueue.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Further teams share the last entry, so that callers can't exhaust memory with invented team names.
+/// Further teams share one place of default weight behind these, so that callers can't exhaust memory with invented team names.
 constexpr std::size_t maxTeams = 4096;
 
 } // namespace
@@ -17,11 +17,11 @@
     auto found = indexOf_.find(name);
     if (found != indexOf_.end())
         return found->second;
-    if (teams_.size() == maxTeams)
-        return maxTeams - 1;
-    auto index = static_cast<TeamIndex>(teams_.size());
-    teams_.push_back({ .name_ = name });
-    indexOf_.emplace(name, index);
+    auto index = static_cast<TeamIndex>(std::min(teams_.size(), maxTeams));
+    if (teams_.size() <= maxTeams)
+        teams_.emplace_back();
+    if (index < maxTeams)
+        indexOf_.emplace(name, index);
     return index;
 }
 
@@ -70,7 +70,9 @@
 void FairQueue::setWeight(const std::string& name, double weight)
 {
     assert(weight > 0);
-    teams_[findOrAdd(name)].weight_ = weight;
+    TeamIndex index = findOrAdd(name);
+    if (index < maxTeams)
+        teams_[index].weight_ = weight;
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Dispatch/FairQueue.h
+++ b/Lagoonpick/Dispatch/FairQueue.h
@@ -30,7 +30,8 @@
     /// Removes the front job without charging its team; for a job that has no task left to send.
     void removeFront();
 
-    /// Sets the share of a team relative to the others. `weight` must be positive; the default is 1.
+    /// Sets the share of a team relative to the others. `weight` must be positive; the default is 1. Has no effect on teams that
+    /// share a place.
     void setWeight(const std::string& team, double weight);
 
     bool isEmpty() const { return order_.empty(); }
@@ -45,7 +46,6 @@
     };
 
     struct Team {
-        std::string name_;
         double weight_ { 1 };
         /// Tasks served, each divided by the team's weight. The team with the smallest value is served next. Raised to
         /// `currentVirtualTime_` when an idle team gets a job.
--- a/UnitTests/Dispatch/FairQueueTest.cpp
+++ b/UnitTests/Dispatch/FairQueueTest.cpp
@@ -42,6 +42,22 @@
     CHECK(first == Approx(row.expectedShare_).margin(2));
 }
 
+TEST_CASE("Teams beyond the limit share one place of default weight, whatever weights they and the last team have", "[FairQueue]")
+{
+    constexpr int maxTeams = 4096;
+    constexpr JobIndex last = 1;
+    constexpr JobIndex beyond = 2;
+    FairQueue queue;
+    for (int team = 0; team < maxTeams; ++team)
+        queue.setWeight("team-" + std::to_string(team), team == maxTeams - 1 ? 3 : 1);
+    queue.setWeight("one too many", 1000);
+    queue.push("team-" + std::to_string(maxTeams - 1), last, Time());
+    queue.push("another one too many", beyond, Time());
+    auto served = serve(queue, 1000);
+    CHECK(served[last] == Approx(750).margin(2));
+    CHECK(served[beyond] == Approx(250).margin(2));
+}
+
 TEST_CASE("A team gets no credit for time in which it was idle", "[FairQueue]")
 {
     FairQueue queue;
