--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -63,7 +63,7 @@
     std::int64_t oldestReport = 0;
     for (const auto& row : agents) {
         const auto* age = row.is_object() ? row.get_object().if_contains("report_age_ms") : nullptr;
-        if (isTrue(row, "linked") && age && age->is_int64())
+        if (isTrue(row, "open") && age && age->is_int64())
             oldestReport = std::max(oldestReport, age->get_int64());
     }
     auto suspect = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "suspect"); });
