--- a/ContractTests/PlatformTest.cpp
+++ b/ContractTests/PlatformTest.cpp
@@ -112,7 +112,8 @@
     std::optional<std::vector<Incarnation>> fenced;
     fixture.run([&]() -> asio::awaitable<void> {
         CompareAndSwap malformed { PlatformKeys::membership, 0, "{" };
-        REQUIRE(co_await fixture.client_.compareAndSwap(std::move(malformed)) == WriteOutcome::Written);
+        WriteOutcome malformedOutcome = co_await fixture.client_.compareAndSwap(std::move(malformed));
+        REQUIRE(malformedOutcome == WriteOutcome::Written);
         auto enroll = [&]() -> asio::awaitable<void> { fenced = co_await registrar.enroll([] { return Time(std::chrono::hours(1)); }); };
         asio::co_spawn(fixture.context_, enroll, asio::detached);
         co_await fixture.pause(1000);
@@ -122,7 +123,8 @@
         auto range = co_await fixture.client_.range(PlatformKeys::membership);
         REQUIRE(range);
         CompareAndSwap readable { PlatformKeys::membership, range.value().items_.at(0).revision_, writeMembership(table) };
-        REQUIRE(co_await fixture.client_.compareAndSwap(std::move(readable)) == WriteOutcome::Written);
+        WriteOutcome readableOutcome = co_await fixture.client_.compareAndSwap(std::move(readable));
+        REQUIRE(readableOutcome == WriteOutcome::Written);
         co_await fixture.pause(1000);
     });
     REQUIRE(fenced.has_value());
