RunHistoryTest: attachments really change

Found on the last reading: an agent that has been connected to an entry knows it for 60 s, so that hiding an entry from it changed next to nothing, and the histories brought about few changes of attachment.

--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -24,7 +24,7 @@
         { .name_ = "orders are carried out late", .delayedCall_ = 0.05 },
         { .name_ = "answers are lost", .answerLoss_ = 0.05 },
         { .name_ = "targets fail", .targetFailure_ = 0.05 },
-        { .name_ = "attachments change", .entryHidden_ = 0.05, .maxEntries_ = 2 },
+        { .name_ = "attachments change", .agentKill_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 2 },
         { .name_ = "attachments change, entries are killed and freeze", .entryKill_ = 0.01, .entrySuspension_ = 0.01, .linkReset_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 1 },
         { .name_ = "callers leave", .callerDisconnect_ = 0.4, .load_ = 1 },
         { .name_ = "everything", .agentKill_ = 0.005, .entryKill_ = 0.005, .entrySuspension_ = 0.005, .agentSuspension_ = 0.005, .linkReset_ = 0.01, .linkCut_ = 0.005, .targetRestart_ = 0.003, .targetCut_ = 0.005, .targetDrain_ = 0.002, .clockStepBack_ = 0.05, .delayedCall_ = 0.02, .answerLoss_ = 0.02, .targetFailure_ = 0.01, .callerDisconnect_ = 0.1, .load_ = 0.9 },
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -145,6 +145,9 @@
     agent.lastInputAt_ = now_;
     std::uint64_t incarnation = ++agent.incarnationCount_;
     agent.selected_.clear();
+    // Whoever has been connected to an entry knows it, so that only a new incarnation can lack one.
+    if (faults_.entryHidden_ > 0)
+        hideEntry(agent);
     auto selections = std::make_shared<std::function<void()>>();
     *selections = [this, &agent, incarnation, selections] {
         if (agent.incarnationCount_ != incarnation || !agent.isUp_)
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -111,6 +111,7 @@
     void injectLinkFaults();
     void killEntry(Entry& entry);
     void killAgent(Agent& agent);
+    void hideEntry(Agent& agent);
     void cutLink(const std::shared_ptr<Link>& link);
     /// Passes an input to a process as its host does: once it is not suspended, and after reporting a suspension to the core.
     /// Drops the input if the process has stopped or is in another incarnation.
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -61,6 +61,12 @@
         agent.target_->setFailing(chance(0.5));
 }
 
+void RunWorld::hideEntry(Agent& agent)
+{
+    agent.hiddenEntry_ = entries_[random_() % entries_.size()]->address_;
+    agent.hiddenUntil_ = now_ + randomDuration(milliseconds(500), milliseconds(4000));
+}
+
 void RunWorld::injectAgentFaults()
 {
     for (auto& agent : agents_) {
@@ -70,10 +76,8 @@
             killAgent(*agent);
         else if (chance(faults_.agentSuspension_))
             agent->suspendedUntil_ = std::max(agent->suspendedUntil_, now_ + randomDuration(milliseconds(100), milliseconds(3000)));
-        if (faults_.entryHidden_ > 0 && chance(faults_.entryHidden_)) {
-            agent->hiddenEntry_ = entries_[random_() % entries_.size()]->address_;
-            agent->hiddenUntil_ = now_ + randomDuration(milliseconds(500), milliseconds(4000));
-        }
+        if (faults_.entryHidden_ > 0 && chance(faults_.entryHidden_))
+            hideEntry(*agent);
         injectTargetFaults(*agent);
         agent->target_->advance(now_);
         if (agent->target_->wasOvercommitted())
