--- a/review/harness/Deployment.cpp
+++ b/review/harness/Deployment.cpp
@@ -140,9 +140,9 @@
     for (std::size_t i = 0; i < workers_.size(); ++i) {
         Worker& worker = workers_[i];
         std::string address = ip(edges_.size() + i);
-        worker.control_ = address + ":" + controlPort;
-        worker.app_ = address + ":" + appPort;
-        worker.proxy_ = address + ":" + proxyPort;
+        worker.control_ = fmt::format("{}:{}", address, controlPort);
+        worker.app_ = fmt::format("{}:{}", address, appPort);
+        worker.proxy_ = fmt::format("{}:{}", address, proxyPort);
         worker.agent_ = startProgram("target/RunAgent/lagoonpick-run-agent", fmt::format("side-{}", i + 1), "deploy/agent.ini",
             { { "ip", address }, { "listen.control", worker.control_ }, { "app", settings_.hasProxies_ ? worker.proxy_ : worker.app_ } });
         startWorker(i, settings_.workers_[i], {});
