--- a/Control/ControlSettings.cpp
+++ b/Control/ControlSettings.cpp
@@ -1,5 +1,7 @@
 #include "Control/ControlSettings.h"
 
+#include "Lagoonpick/Core/SocketAddress.h"
+
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 
--- a/Lagoonpick/Configuration/SettingsReader.cpp
+++ b/Lagoonpick/Configuration/SettingsReader.cpp
@@ -1,9 +1,10 @@
 #include "Lagoonpick/Configuration/SettingsReader.h"
 
+#include "Lagoonpick/Core/SocketAddress.h"
+
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fmt/format.h>
 #include <optional>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr std::uint64_t maxPort = 65'535;
-
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -160,23 +159,6 @@
     return std::move(faults_);
 }
 
-bool isSocketAddress(std::string_view text)
-{
-    auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return false;
-    auto port = parseNumber(text.substr(colon + 1));
-    if (!port || *port > maxPort)
-        return false;
-    std::string host(text.substr(0, colon));
-    bool isBracketed = host.size() > 1 && host.front() == '[' && host.back() == ']';
-    if (isBracketed)
-        host = host.substr(1, host.size() - 2);
-    boost::system::error_code error;
-    auto address = boost::asio::ip::make_address(host, error);
-    return !error && address.is_v6() == isBracketed;
-}
-
 std::vector<std::string> splitList(const std::string& text)
 {
     std::vector<std::string> parts;
--- a/Lagoonpick/Configuration/SettingsReader.h
+++ b/Lagoonpick/Configuration/SettingsReader.h
@@ -80,7 +80,4 @@
 /// serves at `ownAddress`, since all instances use the same ports.
 std::string addressOnHostOf(const std::string& otherAddress, const std::string& ownAddress);
 
-/// True if `text` is `IP:port` with a numeric IPv4 address or a bracketed IPv6 address.
-bool isSocketAddress(std::string_view text);
-
 } // namespace Lagoonpick
--- a/UnitTests/Configuration/SettingsReaderTest.cpp
+++ b/UnitTests/Configuration/SettingsReaderTest.cpp
@@ -1,4 +1,5 @@
 #include "Lagoonpick/Configuration/SettingsReader.h"
+#include "Lagoonpick/Core/SocketAddress.h"
 
 #include <catch2/catch.hpp>
 
