--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -37,21 +37,17 @@
 void RunAgentCore::receive(const TargetHeartbeat& heartbeat, Time now)
 {
     bool wasDraining = target_.heartbeat().isDraining_;
-    std::string formerId = target_.incarnation().id_;
-    auto change = target_.update(heartbeat);
-    if (change == TargetState::Change::None)
+    switch (target_.update(heartbeat)) {
+    case TargetState::Change::None:
         return;
-    if (change == TargetState::Change::NewIncarnation) {
-        bool isRestart = formerId == heartbeat.incarnation_.id_;
-        log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.startedAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
-        // Each call names the target id that it is meant for, so none can have reached a target with another id.
-        if (!isRestart)
-            endAllAsLost("target_replaced", now);
-        handleRestart();
-        isLeaseLost_ = false;
-        leaseAnsweredAt_ = now;
-        pendingLeases_.clear();
-        keepRenewalsInFlight(now);
+    case TargetState::Change::Claim:
+        checkClaim(heartbeat, now);
+        return;
+    case TargetState::Change::NewIncarnation:
+        beginTarget(now);
+        break;
+    case TargetState::Change::Updated:
+        break;
     }
     if (target_.heartbeat().isDraining_ && !wasDraining)
         log(LogLine("target_draining").text("target", heartbeat.incarnation_.id_).number("sequence", heartbeat.sequence_).number("running", runs_.rows().size()));
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -123,6 +123,12 @@
 
     void keepRenewalsInFlight(Time now);
     void renewLease(Duration wait, Time now);
+    /// Asks at the target's address which target is there, unless that is being asked already.
+    void checkClaim(const TargetHeartbeat& claim, Time now);
+    /// Accepts a claim if the known target neither answers nor can still have runs.
+    void acceptClaimOfSilentTarget(Time now);
+    void beginTarget(Time now);
+    void handleAbsence(Time now);
     void handleRestart();
     void handleUnansweredLease(Time now);
     void handleEnds(const LeaseReply& reply, Time now);
@@ -170,7 +176,7 @@
         std::uint64_t tokenUsed_ { 0 };
     };
     std::map<std::uint64_t, PendingLease> pendingLeases_;
-    /// When the target last answered a lease call, or when a heartbeat first reported its present incarnation.
+    /// When the target last answered a lease call, or when its present incarnation became known.
     Time leaseAnsweredAt_;
     /// When the latest lease that the target may hold ends, by this agent's clock.
     Time leaseEndsAt_;
@@ -182,8 +188,8 @@
     bool isLeaseLost_ { false };
     /// Highest `EndedRow::number_` received from the target's present incarnation.
     std::uint64_t highestSeenEnd_ { 0 };
-    /// When a call was last found to be unanswered. The target may have restarted, so no start is sent and no lease extended
-    /// until it answers a lease call that was sent at or after this time.
+    /// When a call was last found to be unanswered, or another incarnation of the target was first claimed. The target may have
+    /// restarted, so no start is sent and no lease extended until it answers a lease call that was sent at or after this time.
     std::optional<Time> unansweredAt_;
     /// No start is sent before this time: the target reported that it is full although by this agent's count it is not.
     Time noRoomUntil_;
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -66,18 +66,14 @@
         keepRenewalsInFlight(now);
         return;
     case CallAnswer::WrongTarget:
-        log(LogLine("target_changed").text("expected", target_.incarnation().id_));
-        endAllAsLost("target_changed", now);
-        hasLeaseAnswer_ = false;
-        markReportsDue();
-        renewAt_ = now + renewalPause;
+        handleAbsence(now);
         return;
     default:
         ++counters_.leaseAnswersMissed_;
         handleUnansweredLease(now);
         return;
     }
-    if (target_.updateStartTime(reply.startedAt_))
+    if (target_.confirm(reply.startedAt_))
         handleRestart();
     if (isLeaseLost_) {
         log(LogLine("target_regained").text("target", target_.incarnation().id_));
@@ -87,8 +83,10 @@
     if (reply.clock_)
         target_.updateClock(*reply.clock_, now);
     leaseAnsweredAt_ = now;
-    if (unansweredAt_ && sent.sentAt_ >= *unansweredAt_)
+    if (unansweredAt_ && sent.sentAt_ >= *unansweredAt_) {
         unansweredAt_.reset();
+        target_.dropClaim();
+    }
     handleEnds(reply, now);
     handleRunning(reply, sent.sentAt_, now);
     if (!hasLeaseAnswer_) {
@@ -110,6 +108,51 @@
     renewAt_ = now + renewalPause;
     if (isNew && hasLeaseAnswer_)
         renewLease(Duration(), now);
+    acceptClaimOfSilentTarget(now);
+}
+
+/// A claim proves nothing: the heartbeat may be late, or come from another writer. Until the address has answered, the known
+/// target keeps its runs and their leases, but nothing is started there, since it may have restarted.
+void RunAgentCore::checkClaim(const TargetHeartbeat& claim, Time now)
+{
+    log(LogLine("target_claimed").text("target", claim.incarnation_.id_).number("born_ms", claim.incarnation_.startedAt_).text("known", target_.incarnation().id_).number("known_born_ms", target_.incarnation().startedAt_));
+    if (unansweredAt_)
+        return;
+    unansweredAt_ = now;
+    renewLease(Duration(), now);
+}
+
+void RunAgentCore::acceptClaimOfSilentTarget(Time now)
+{
+    auto isSent = [](const auto& row) { return row.second.phase_ != RunPhase::Queued; };
+    bool mayHaveRuns = std::any_of(runs_.rows().begin(), runs_.rows().end(), isSent);
+    if (!mayHaveRuns && (!hasLeaseAnswer_ || isLeaseLost_) && target_.acceptClaim())
+        beginTarget(now);
+}
+
+/// Handles a target that has become the known one. The runs of the former one have ended, or were counted as lost.
+void RunAgentCore::beginTarget(Time now)
+{
+    const TargetHeartbeat& heartbeat = target_.heartbeat();
+    log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.startedAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
+    handleRestart();
+    isLeaseLost_ = false;
+    leaseAnsweredAt_ = now;
+    renewAt_ = now;
+    keepRenewalsInFlight(now);
+}
+
+/// Handles the answer that another target is at the address: the known one has ended, and its runs with it.
+void RunAgentCore::handleAbsence(Time now)
+{
+    if (!target_.isAbsent())
+        log(LogLine("target_changed").text("expected", target_.incarnation().id_));
+    endAllAsLost("target_changed", now);
+    hasLeaseAnswer_ = false;
+    markReportsDue();
+    renewAt_ = now + renewalPause;
+    if (target_.handleAbsence())
+        beginTarget(now);
 }
 
 /// Resets what applied to the target's previous incarnation only. After a restart under the same id, the lists show what
@@ -118,6 +161,8 @@
 void RunAgentCore::handleRestart()
 {
     log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", target_.incarnation().startedAt_));
+    // Their answers may come from the former incarnation.
+    pendingLeases_.clear();
     orphans_.clear();
     highestSeenEnd_ = 0;
     hasLeaseAnswer_ = false;
@@ -211,6 +256,7 @@
     log(LogLine("target_lost").text("target", target_.incarnation().id_).milliseconds("silent_ms", now - leaseAnsweredAt_));
     endAllAsLost("lease_expired", now);
     markReportsDue();
+    acceptClaimOfSilentTarget(now);
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/TargetState.cpp
+++ b/Lagoonpick/Run/TargetState.cpp
@@ -1,31 +1,36 @@
 #include "Lagoonpick/Run/TargetState.h"
 
+#include <utility>
+
 namespace Lagoonpick {
 
 TargetState::Change TargetState::update(const TargetHeartbeat& heartbeat)
 {
-    const TargetIncarnation& known = incarnation();
-    const TargetIncarnation& reported = heartbeat.incarnation_;
-    if (known.isValid() && reported.startedAt_ < known.startedAt_)
-        return Change::None;
-    bool isSame = reported == known;
-    if (isSame && heartbeat.sequence_ <= heartbeat_.sequence_)
-        return Change::None;
-    // Draining can't be undone within an incarnation.
-    bool isDraining = heartbeat.isDraining_ || (isSame && heartbeat_.isDraining_);
-    bool isSameStart = isStale_ && reported.id_ == known.id_ && reported.startedAt_ == known.startedAt_;
-    heartbeat_ = heartbeat;
-    heartbeat_.isDraining_ = isDraining;
-    isStale_ = false;
-    if (isSame || isSameStart)
+    if (heartbeat.incarnation_ == incarnation()) {
+        if (heartbeat.sequence_ <= heartbeat_.sequence_)
+            return Change::None;
+        // Draining can't be undone within an incarnation.
+        bool isDraining = heartbeat.isDraining_ || heartbeat_.isDraining_;
+        heartbeat_ = heartbeat;
+        heartbeat_.isDraining_ = isDraining;
+        isStale_ = false;
         return Change::Updated;
-    clock_.reset();
+    }
+    if (incarnation().isValid() && !isAbsent_) {
+        claim_ = heartbeat;
+        return Change::Claim;
+    }
+    adopt(heartbeat);
     return Change::NewIncarnation;
 }
 
-bool TargetState::updateStartTime(std::uint64_t startedAt)
+bool TargetState::confirm(std::uint64_t startedAt)
 {
-    if (!startedAt || !incarnation().isValid() || startedAt <= incarnation().startedAt_)
+    isAbsent_ = false;
+    bool isClaimed = claim_ && claim_->incarnation_.id_ == incarnation().id_ && (!startedAt || claim_->incarnation_.startedAt_ == startedAt);
+    if (isClaimed)
+        return acceptClaim();
+    if (!startedAt || startedAt == incarnation().startedAt_)
         return false;
     heartbeat_.incarnation_.startedAt_ = startedAt;
     heartbeat_.sequence_ = 0;
@@ -35,6 +40,28 @@
     return true;
 }
 
+bool TargetState::handleAbsence()
+{
+    isAbsent_ = !acceptClaim();
+    return !isAbsent_;
+}
+
+bool TargetState::acceptClaim()
+{
+    if (!claim_)
+        return false;
+    adopt(*std::exchange(claim_, std::nullopt));
+    return true;
+}
+
+void TargetState::adopt(const TargetHeartbeat& heartbeat)
+{
+    heartbeat_ = heartbeat;
+    isAbsent_ = false;
+    isStale_ = false;
+    clock_.reset();
+}
+
 void TargetState::handleDeparture(const std::string& id)
 {
     if (id == incarnation().id_)
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -123,10 +123,17 @@
     constexpr std::uint32_t statusUnavailable = 503;
     core_.receive(heartbeat, beginInput());
     const TargetHeartbeat& current = core_.target().heartbeat();
-    bool mustBeStored = current.isDraining_ && current.incarnation_ == heartbeat.incarnation_;
+    bool isKnown = current.incarnation_ == heartbeat.incarnation_;
+    if (heartbeat.isDraining_ && !isKnown) {
+        // The target repeats its heartbeat; by then its address has answered.
+        log(LogLine("drain_not_acknowledged").text("target", heartbeat.incarnation_.id_).text("why", "another target is known"));
+        respond({ .status_ = statusUnavailable, .body_ = "{}", .stream_ = {} });
+        return;
+    }
+    bool mustBeStored = current.isDraining_ && isKnown;
     targetRecordStore_.save(current, [this, respond, mustBeStored](bool isStored) {
         if (mustBeStored && !isStored)
-            log(LogLine("drain_not_acknowledged").text("why", "the store did not confirm the write of the target's record"));
+            log(LogLine("drain_not_acknowledged").text("target", core_.target().incarnation().id_).text("why", "the store did not confirm the write of the target's record"));
         respond({ .status_ = mustBeStored && !isStored ? statusUnavailable : 200U, .body_ = "{}", .stream_ = {} });
     });
 }
--- a/Soak/RunsProgramTest.cpp
+++ b/Soak/RunsProgramTest.cpp
@@ -17,9 +17,9 @@
 
 constexpr int timeoutSeconds = 10;
 
-std::string jobBody(int workMs, int tasks = 1)
+std::string jobBody(int workMs, int tasks = 1, int estimateMs = 100)
 {
-    return fmt::format(R"({{"spec":"work_ms={} cpu=1000","steps":[{{"count":{},"cpu":1000,"mem_mb":1,"estimate_ms":100}}],"best_effort":true}})", workMs, tasks);
+    return fmt::format(R"({{"spec":"work_ms={} cpu=1000","steps":[{{"count":{},"cpu":1000,"mem_mb":1,"estimate_ms":{}}}],"best_effort":true}})", workMs, tasks, estimateMs);
 }
 
 Contract::CallerAnswer submit(const SoakSystem& system, const std::string& id, const std::string& body)
@@ -94,6 +94,29 @@
     CHECK(readFile(system.logFolder() + "/agent-0.log").value_or("").find("heartbeat_unreadable") != std::string::npos);
 }
 
+// Guards against: another writer's heartbeat ended all runs as lost, their tasks ran twice, and the machine stayed out of use.
+TEST_CASE("A heartbeat that names another target ends no run, and the target stays in use", "[RunsProgram]")
+{
+    auto [id, fields] = GENERATE(table<std::string, std::string>({
+        { "other", R"("address":"127.0.0.1:9","zone":"z","version":"v1","labels":[],"capacity":{"cpu":16000,"mem_mb":100},"born":99999999999999)" },
+        { "other", R"("address":"127.0.0.1:9","zone":"z","version":"v1","labels":[],"capacity":{"cpu":16000,"mem_mb":100},"born":1)" },
+        { "target-0", R"("address":"127.0.0.1:9","zone":"z","version":"v1","labels":[],"capacity":{"cpu":16000,"mem_mb":100},"born":99999999999999)" },
+        { "other", R"("slots":8,"capacity":{"cpu":16000},"born":99999999999999)" },
+    }));
+    SoakSystem system({ 1, 1 });
+    REQUIRE(system.waitUntilReady(timeoutSeconds));
+    Contract::CallerAnswer answer;
+    std::thread caller([&] { answer = submit(system, "00000000000000c2", jobBody(700, 1, 700)); });
+    std::this_thread::sleep_for(milliseconds(300));
+    Contract::call(system.controlAddress(0), "POST", "/lagoonpick/instances/" + id + "/heartbeat", R"({"service":"other","state":"ready","seq":9,)" + fields + "}", timeoutSeconds);
+    caller.join();
+    CHECK(answer.member("state") == "done");
+    auto record = readFile(system.recordFile()).value_or("");
+    CHECK(record.find(" began ") != std::string::npos);
+    CHECK(record.find(" began ") == record.rfind(" began "));
+    CHECK(submit(system, "00000000000000c3", jobBody(700, 1, 700)).member("state") == "done");
+}
+
 TEST_CASE("Every line of a log is JSON with a time, a process and an event; metrics count jobs and runs by end", "[RunsProgram]")
 {
     SoakSystem system({ 1, 1 });
--- a/StandIns/LeasedTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -61,6 +61,8 @@
 CallReply LeasedTarget::receive(const StartCall& start, Time now, bool isLate)
 {
     advance(now);
+    if (!isMeant(start.expectedTarget_))
+        return { start.call_, CallAnswer::WrongTarget, {} };
     CallReply reply { start.call_, CallAnswer::Accepted, clock(now) };
     auto highest = highestNumbers_.find(start.name_.task_);
     Wire::Resources used;
@@ -91,6 +93,8 @@
 CallReply LeasedTarget::receive(const StopCall& stop, Time now)
 {
     advance(now);
+    if (!isMeant(stop.expectedTarget_))
+        return { stop.call_, CallAnswer::WrongTarget, {} };
     CallReply reply { stop.call_, CallAnswer::Accepted, clock(now) };
     if (stop.fencingToken_ < fencingToken_) {
         reply.answer_ = CallAnswer::Fenced;
@@ -107,6 +111,8 @@
 LeaseReply LeasedTarget::receive(const LeaseCall& call, Time now)
 {
     advance(now);
+    if (!isMeant(call.expectedTarget_))
+        return { .call_ = call.call_, .answer_ = CallAnswer::WrongTarget, .clock_ = {}, .running_ = {}, .ended_ = {} };
     LeaseReply reply { .call_ = call.call_, .answer_ = CallAnswer::Accepted, .clock_ = clock(now), .startedAt_ = incarnationNumber_, .running_ = {}, .ended_ = {} };
     if (call.fencingToken_ < fencingToken_) {
         reply.answer_ = CallAnswer::Fenced;
--- a/StandIns/LeasedTarget.h
+++ b/StandIns/LeasedTarget.h
@@ -43,6 +43,11 @@
     /// Advances the simulation to `now`: runs progress and end, the lease expires.
     void advance(Time now);
 
+    /// True if a call that names this target as the expected one, or none, is meant for it.
+    bool isMeant(const std::string& expectedTarget) const { return expectedTarget.empty() || expectedTarget == id_; }
+
+    /// A call that is meant for another target gets `CallAnswer::WrongTarget` and does nothing.
+    ///
     /// `isLate`: the call is carried out seconds after it was sent. An agent can't know of such a run before the target
     /// lists it, so the run does not count against the capacity.
     CallReply receive(const StartCall& start, Time now, bool isLate);
--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -133,6 +133,10 @@
 {
     if (handleControlRequest(request, respond))
         return;
+    if (!target_.isMeant(std::string(findHeader(request.headers_, "Lagoonpick-Expect-Instance")))) {
+        respond({ .status_ = 421, .body_ = "{}", .stream_ = {} });
+        return;
+    }
     boost::system::error_code error;
     auto value = json::parse(request.body_, error);
     if (error || !value.is_object()) {
--- a/UnitTests/Runs/RunAgentCoreTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreTest.cpp
@@ -115,7 +115,7 @@
     else if (why == Why::Closing)
         agent.core_.beginShutdown(agent.now_);
     else
-        agent.sendHeartbeat(false, 2, "another");
+        agent.replaceTarget("another", 2);
     agent.startRun(1);
     CHECK(agent.starts_.empty());
     REQUIRE(agent.ends().size() == 1);
--- a/UnitTests/Runs/RunAgentFixture.h
+++ b/UnitTests/Runs/RunAgentFixture.h
@@ -64,6 +64,13 @@
         collect();
     }
 
+    /// Delivers another target's heartbeat, and the answer of the target's address that the known one isn't there any more.
+    void replaceTarget(const std::string& id, std::uint64_t startedAt)
+    {
+        sendHeartbeat(false, startedAt, id);
+        answerLeases({ .answer_ = CallAnswer::WrongTarget, .clock_ = {}, .running_ = {}, .ended_ = {} });
+    }
+
     void startRun(std::uint64_t run, Duration wait = std::chrono::milliseconds(100), std::uint32_t milliCores = 1000, Duration due = std::chrono::milliseconds(100), TaskTimes times = {})
     {
         core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = static_cast<std::uint64_t>(times.work_.count()), .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .callerTimeoutMicroseconds_ = static_cast<std::uint64_t>(times.callerTimeout_.count()) }, now_);
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -24,6 +24,8 @@
         { .name_ = "orders are carried out late", .delayedCall_ = 0.05 },
         { .name_ = "answers are lost", .answerLoss_ = 0.05 },
         { .name_ = "targets fail", .targetFailure_ = 0.05 },
+        { .name_ = "heartbeats of another writer", .strayHeartbeat_ = 0.05 },
+        { .name_ = "heartbeats of another writer while targets restart and drain", .agentKill_ = 0.01, .targetRestart_ = 0.01, .targetCut_ = 0.01, .targetDrain_ = 0.01, .strayHeartbeat_ = 0.05 },
         { .name_ = "attachments change", .agentKill_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 2 },
         { .name_ = "attachments change, entries are killed and freeze", .entryKill_ = 0.01, .entrySuspension_ = 0.01, .linkReset_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 1 },
         { .name_ = "callers leave", .callerDisconnect_ = 0.4, .load_ = 1 },
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -181,7 +181,8 @@
         return;
     deliverToAgent(agent, agent.incarnationCount_, [this, &agent, heartbeat = agent.target_->heartbeat()] {
         agent.core_->receive(heartbeat, now_);
-        if (agent.target_->isDraining() && heartbeat.isDraining_ && !agent.drainAcknowledgedAt_)
+        bool isKnown = agent.core_->target().incarnation() == heartbeat.incarnation_;
+        if (agent.target_->isDraining() && heartbeat.isDraining_ && isKnown && !agent.drainAcknowledgedAt_)
             agent.drainAcknowledgedAt_ = now_;
     });
 }
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -36,6 +36,8 @@
     double answerLoss_ { 0 };
     /// The target is set to fail either all its tasks or no more of them, with equal probability.
     double targetFailure_ { 0 };
+    /// Another writer's heartbeat reaches the agent: it names an unknown target, or another start time of the real one.
+    double strayHeartbeat_ { 0 };
     /// An agent does not know a random entry for up to 4 s, so that it attaches to others and returns later.
     double entryHidden_ { 0 };
     /// Number of entries that an agent attaches to; with fewer than there are, attachments change when entries are lost.
@@ -143,6 +145,7 @@
     void startEntry(Entry& entry);
     void startAgent(Agent& agent);
     void sendHeartbeat(Agent& agent);
+    void sendStrayHeartbeat(Agent& agent);
     /// Called by a target when a run starts or ends there.
     void runStarted(std::size_t target, const RunName& name);
     void runEnded(std::size_t target, const RunName& name, Wire::RunEnd end);
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -59,6 +59,20 @@
         agent.target_->setDraining();
     if (chance(faults_.targetFailure_))
         agent.target_->setFailing(chance(0.5));
+    if (faults_.strayHeartbeat_ > 0 && chance(faults_.strayHeartbeat_))
+        sendStrayHeartbeat(agent);
+}
+
+void RunWorld::sendStrayHeartbeat(Agent& agent)
+{
+    TargetHeartbeat heartbeat = agent.target_->heartbeat();
+    if (chance(0.5))
+        heartbeat.incarnation_.id_ = "another";
+    heartbeat.incarnation_.startedAt_ += chance(0.5) ? 1000 : -1;
+    heartbeat.isDraining_ = chance(0.3);
+    // More room than any target has.
+    heartbeat.capacity_.milliCores_ *= 4;
+    deliverToAgent(agent, agent.incarnationCount_, [this, &agent, heartbeat] { agent.core_->receive(heartbeat, now_); });
 }
 
 void RunWorld::hideEntry(Agent& agent)
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -115,8 +115,8 @@
         if (now_ < agent.targetCutUntil_ || agent.target_->incarnation() != targetIncarnation)
             return;
         // The lease is extended when the call arrives; the reply is held back until a run has ended or `wait_` is over.
-        agent.target_->receive(LeaseCall { .leaseUntil_ = call.leaseUntil_, .fencingToken_ = call.fencingToken_ }, now_);
-        (*poll)(now_ + call.wait_);
+        agent.target_->receive(LeaseCall { .leaseUntil_ = call.leaseUntil_, .fencingToken_ = call.fencingToken_, .expectedTarget_ = call.expectedTarget_ }, now_);
+        (*poll)(agent.target_->isMeant(call.expectedTarget_) ? now_ + call.wait_ : now_);
     });
     auto onNoAnswer = [this, &agent, call, incarnation, isAnswered] {
         if (!std::exchange(*isAnswered, true))
