--- a/Lagoonpick/Run/AddressTable.cpp
+++ b/Lagoonpick/Run/AddressTable.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonpick/Run/AddressTable.h"
 
+#include "Lagoonpick/Core/SocketAddress.h"
+
 namespace Lagoonpick {
 
 namespace {
@@ -18,6 +20,8 @@
 
 void AddressTable::record(const std::string& address, Time now)
 {
+    if (!isDestinationAddress(address))
+        return;
     if (recordedAt_.size() >= maxAddresses)
         removeExpired(now);
     auto found = recordedAt_.find(address);
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonpick/Core/SocketAddress.h"
 #include "Lagoonpick/Run/Backlog.h"
 #include "Lagoonpick/Run/RunAgentCore.h"
 
@@ -78,6 +79,11 @@
         abort(link);
         return;
     }
+    if (!isDestinationAddress(hello.address_)) {
+        log(LogLine("entry_rejected").text("entry", hello.name_).text("address", hello.address_));
+        abort(link);
+        return;
+    }
     EntrySession& session = sessions_[hello.incarnation_];
     // Messages still buffered on an older link must not be handled after those of this link.
     if (session.link_ && *session.link_ != link)
--- a/RunAgent/EntryDirectory.cpp
+++ b/RunAgent/EntryDirectory.cpp
@@ -16,15 +16,16 @@
 /// The interval of the first lists, so that entries which start at the same time are found quickly.
 constexpr Duration fastListInterval = std::chrono::milliseconds(200);
 constexpr int fastListCount = 15;
+/// Limits the memory and the log lines that another writer's keys can take.
+constexpr std::size_t maxUnreadableKeys = 100;
 
 } // namespace
 
-EntryDirectory::EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, std::function<void()> onChanged, std::function<void(bool)> onReachabilityChanged)
+EntryDirectory::EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events)
     : context_(context)
     , store_(store)
     , clock_(clock)
-    , onChanged_(std::move(onChanged))
-    , onReachabilityChanged_(std::move(onReachabilityChanged))
+    , events_(std::move(events))
 {
 }
 
@@ -40,16 +41,24 @@
         auto items = co_await store_.list(std::string(entriesPrefix));
         if (items.has_value() != isStoreReachable_) {
             isStoreReachable_ = items.has_value();
-            onReachabilityChanged_(isStoreReachable_);
+            events_.onReachabilityChanged_(isStoreReachable_);
         }
         if (items) {
             for (const auto& item : items.value())
-                knownAddresses_.record(item.value_, clock_.now());
-            onChanged_();
+                record(item);
+            events_.onChanged_();
         }
         timer.expires_after(round < fastListCount ? fastListInterval : listInterval);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
 }
 
+void EntryDirectory::record(const UsersPlatform::StoredItem& item)
+{
+    if (isDestinationAddress(item.value_))
+        knownAddresses_.record(item.value_, clock_.now());
+    else if (unreadableKeys_.size() < maxUnreadableKeys && unreadableKeys_.insert(item.key_).second)
+        events_.onUnreadable_(item.key_);
+}
+
 } // namespace Lagoonpick
--- a/RunAgent/EntryDirectory.h
+++ b/RunAgent/EntryDirectory.h
@@ -5,6 +5,7 @@
 #include "platform/StoreClient.h"
 
 #include <functional>
+#include <set>
 
 namespace Lagoonpick {
 
@@ -14,8 +15,16 @@
 /// Used from one thread only: the one that runs its `io_context`.
 class EntryDirectory {
 public:
-    /// `onChanged` is called after each successful list; `onReachabilityChanged` when the store becomes or stops being reachable.
-    EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, std::function<void()> onChanged, std::function<void(bool isReachable)> onReachabilityChanged);
+    struct Events {
+        /// Called after each successful list.
+        std::function<void()> onChanged_;
+        /// Called when the store becomes or stops being reachable.
+        std::function<void(bool isReachable)> onReachabilityChanged_;
+        /// Called once for a key whose value is no address: another program wrote it. It is left out.
+        std::function<void(const std::string& key)> onUnreadable_;
+    };
+
+    EntryDirectory(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events);
 
     void start();
 
@@ -23,13 +32,15 @@
 
 private:
     boost::asio::awaitable<void> run();
+    void record(const UsersPlatform::StoredItem& item);
 
     boost::asio::io_context& context_;
     UsersPlatform::StoreClient& store_;
     const BootTime& clock_;
-    std::function<void()> onChanged_;
-    std::function<void(bool)> onReachabilityChanged_;
+    Events events_;
     bool isStoreReachable_ { true };
+    /// The keys that were reported as unreadable.
+    std::set<std::string> unreadableKeys_;
     AddressTable knownAddresses_;
 };
 
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -48,7 +48,9 @@
     , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdleTime)
     , store_(context, settings_.storeAddress_)
     , entryDirectory_(
-          context, store_, clock_, [this] { updateEntryLinks(); }, [this](bool isReachable) { log(LogLine(isReachable ? "store_regained" : "store_lost")); })
+          context, store_, clock_,
+          { [this] { updateEntryLinks(); }, [this](bool isReachable) { log(LogLine(isReachable ? "store_regained" : "store_lost")); },
+              [this](const std::string& key) { log(LogLine("entry_unreadable").text("key", key)); } })
     , targetRecordStore_(context, store_, settings_.run_.name_)
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
--- a/RunAgent/TargetRecord.cpp
+++ b/RunAgent/TargetRecord.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::uint32_t readSize(const json::object& record, std::string_view name)
-{
-    return static_cast<std::uint32_t>(UsersPlatform::readUnsigned(record, name).value_or(0));
-}
-
 std::string readStringOrEmpty(const json::object& record, std::string_view name)
 {
     return UsersPlatform::readString(record, name).value_or("");
@@ -41,7 +36,7 @@
     if (!heartbeat.incarnation_.isValid() || heartbeat.service_.empty() || !draining || !draining->is_bool())
         return fail(ErrorCode::Malformed, "the target's record lacks a required field");
     heartbeat.isDraining_ = draining->get_bool();
-    heartbeat.capacity_ = { readSize(*record, "milli_cores"), readSize(*record, "memory_mb"), readSize(*record, "accelerators") };
+    heartbeat.capacity_ = { UsersPlatform::readAmount(*record, "milli_cores"), UsersPlatform::readAmount(*record, "memory_mb"), UsersPlatform::readAmount(*record, "accelerators") };
     heartbeat.labels_ = UsersPlatform::readStrings(*record, "labels");
     return heartbeat;
 }
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -247,3 +247,30 @@
         fences.acknowledge(Incarnation(9), agent == 21 ? "first" : "second", Incarnation(agent));
     CHECK(fences.state(view, Incarnation(9), begin(), seconds(7)) == row.state_);
 }
+
+// Guards against: another writer's odd entry among those of the targets ended the entries that read the list, or they
+// followed it no longer.
+TEST_CASE("An odd registration of a target is rejected, and the others are followed", "[Membership]")
+{
+    const std::string sound = writeRegistration({ .target_ = "t", .service_ = "s", .availabilityZone_ = "a", .address_ = "10.0.0.1:1", .agent_ = Incarnation(7), .registeredAt_ = begin(), .ledgerLostAt_ = begin() });
+    REQUIRE(readRegistration(sound).has_value());
+    auto [from, to] = GENERATE(table<std::string, std::string>({
+        { "10.0.0.1:1", "10.0.0.1:99999" },
+        { "10.0.0.1:1", "10.0.0.1:0" },
+        { "10.0.0.1:1", "elsewhere:80" },
+        { "10.0.0.1:1", "" },
+        { "\"registered_at_ms\":1800000000000", "\"registered_at_ms\":9223372036854775807" },
+        { "\"registered_at_ms\":1800000000000", "\"registered_at_ms\":1e400" },
+        { "\"registered_at_ms\":1800000000000", "\"registered_at_ms\":-1" },
+        { "\"target\":\"t\"", "\"target\":" + std::string(100'000, '[') },
+        { "\"target\":\"t\"", "\"target\":7" },
+    }));
+    std::string odd = sound;
+    REQUIRE(odd.find(from) != std::string::npos);
+    odd.replace(odd.find(from), from.size(), to);
+    INFO(odd.substr(0, 200));
+    PlatformView view;
+    CHECK_FALSE(view.apply(std::string(PlatformKeys::targets) + "odd", odd, 1).has_value());
+    CHECK(view.apply(std::string(PlatformKeys::targets) + "t", sound, 2).has_value());
+    CHECK(view.targets_.size() == 1);
+}
--- a/UnitTests/Runs/RunPartsTest.cpp
+++ b/UnitTests/Runs/RunPartsTest.cpp
@@ -26,6 +26,16 @@
     CHECK(table.addresses(now) == std::vector<std::string> { "10.0.0.2:1" });
 }
 
+// Guards against: an odd entry in the list was resolved by name and took one of the few links of an agent.
+TEST_CASE("An address to which no connection can be made is not kept")
+{
+    AddressTable table;
+    auto address = GENERATE(values<std::string>({ "", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:1e3", "10.0.0.1:-1", "host:1", "::1:1", "[[[[", "\xff\xfe:1" }));
+    INFO(address);
+    table.record(address, Time());
+    CHECK(table.addresses(Time()).empty());
+}
+
 TEST_CASE("A target is suspect once the latest runs of several jobs failed, until most runs succeed again")
 {
     struct Row {
--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/ConfigurationCodec.h"
 #include "platform/JobCodec.h"
 #include "platform/TargetCodec.h"
+#include "RunAgent/TargetRecord.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -19,6 +20,9 @@
 const std::string validJob = R"({"spec":"text","steps":[{"count":6,"cpu":1350,"mem_mb":64,"estimate_ms":52,"affinity":"r1-3"}],"best_effort":true})";
 const std::string validHeartbeat = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":77})";
 
+/// Index of `MalformedCall` among the alternatives of a job call.
+constexpr std::size_t malformedCall = 5;
+
 } // namespace
 
 TEST_CASE("A best-effort job is decoded with all its fields")
@@ -48,7 +52,7 @@
     constexpr std::size_t state = 2;
     constexpr std::size_t cancel = 3;
     constexpr std::size_t queue = 4;
-    constexpr std::size_t malformed = 5;
+    constexpr std::size_t malformed = malformedCall;
     auto row = GENERATE(values<Row>({
         { "POST", "/p/" + id, R"({"spec":"","steps":[{"count":1}]})", unsupported },
         { "POST", "/p/" + id, R"({"steps":[{"count":1},{"count":1,"after":[0]}],"best_effort":true})", unsupported },
@@ -195,6 +199,7 @@
         { R"({"version":7,"routes":[]})", 0 },
         { R"({"routes":[]})", -1 },
         { R"({"version":"7","routes":[]})", -1 },
+        { R"({"version":1e400,"routes":[]})", -1 },
         { "null", -1 },
         { "", -1 },
     }));
