--- a/UnitTests/Runs/RunAgentCoreClaimTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreClaimTest.cpp
@@ -199,6 +199,38 @@
         CHECK(agent.ends()[0].reason_ == NotStartedReason::TargetUnavailable);
 }
 
+// Guards against: a caller was told that nothing had run, though the target had begun its task and crashed (review, case 3).
+TEST_CASE("A run that was sent to a target's former incarnation counts as lost, whatever the present one says of it")
+{
+    enum class Sent {
+        Unanswered,
+        Unrevoked,
+        Recalled,
+    };
+    auto sent = GENERATE(Sent::Unanswered, Sent::Unrevoked, Sent::Recalled);
+    ClaimFixture agent;
+    agent.startRun(2);
+    REQUIRE(agent.starts_.size() == 2);
+    if (sent == Sent::Recalled)
+        agent.core_.receive(link, Wire::StopRun { 2 }, agent.now_);
+    if (sent == Sent::Unanswered)
+        agent.reply(1, CallAnswer::NoAnswer);
+    agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    agent.reply(1, CallAnswer::NoAnswer);
+    std::size_t answeredStops = 0;
+    for (int round = 0; round < 5; ++round) {
+        agent.advanceWithHeartbeats(milliseconds(100));
+        for (; answeredStops < agent.stops_.size(); ++answeredStops)
+            agent.core_.receiveStopReply({ agent.stops_[answeredStops].call_, CallAnswer::Accepted, {} }, agent.now_);
+        agent.now_ += milliseconds(1);
+        agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    }
+    auto ends = agent.ends();
+    REQUIRE(ends.size() == 2);
+    CHECK(ends[0].end_ == RunEnd::Lost);
+    CHECK(ends[1].end_ == RunEnd::Lost);
+}
+
 // Guards against: a target whose clock stepped back before it restarted was ignored, also when it drained (review, report).
 TEST_CASE("A target that restarted with an earlier start time is known by its answer, with what its heartbeat says")
 {
