--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -163,6 +163,9 @@
     log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", target_.incarnation().startedAt_));
     // Their answers may come from the former incarnation.
     pendingLeases_.clear();
+    // A start that is still on its way was stopped at the former incarnation, of which the present one knows nothing. It carries a
+    // lower token, so it does nothing once the present one has answered a lease call.
+    ++fencingToken_;
     orphans_.clear();
     highestSeenEnd_ = 0;
     hasLeaseAnswer_ = false;
--- a/UnitTests/Runs/RunAgentCoreClaimTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreClaimTest.cpp
@@ -231,6 +231,27 @@
     CHECK(ends[1].end_ == RunEnd::Lost);
 }
 
+// Guards against: a start that was carried out after its target's restart ran beside the task's second run (review, case 2).
+TEST_CASE("Calls to a target's present incarnation carry a higher fencing token than any call to a former one")
+{
+    bool isRestart = GENERATE(false, true);
+    ClaimFixture agent;
+    std::uint64_t former = 0;
+    for (const auto& call : agent.leases_)
+        former = std::max(former, call.fencingToken_);
+    former = std::max(former, agent.starts_[0].fencingToken_);
+    if (isRestart)
+        agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    else
+        agent.replaceTarget("another", 9);
+    CHECK(agent.leases_.back().fencingToken_ > former);
+    agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    agent.sendHeartbeat(false, 9, isRestart ? "target" : "another");
+    agent.startRun(2);
+    REQUIRE(agent.starts_.size() == 2);
+    CHECK(agent.starts_[1].fencingToken_ > former);
+}
+
 // Guards against: a target whose clock stepped back before it restarted was ignored, also when it drained (review, report).
 TEST_CASE("A target that restarted with an earlier start time is known by its answer, with what its heartbeat says")
 {
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -22,6 +22,7 @@
         { .name_ = "targets are cut off", .targetCut_ = 0.02 },
         { .name_ = "targets drain", .agentKill_ = 0.01, .targetRestart_ = 0.01, .targetDrain_ = 0.01 },
         { .name_ = "orders are carried out late", .delayedCall_ = 0.05 },
+        { .name_ = "orders are carried out late, also after a restart", .targetRestart_ = 0.02, .delayedCall_ = 0.05, .delayedCallOutlivesRestart_ = true },
         { .name_ = "answers are lost", .answerLoss_ = 0.05 },
         { .name_ = "targets fail", .targetFailure_ = 0.05 },
         { .name_ = "heartbeats of another writer", .strayHeartbeat_ = 0.05 },
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -32,6 +32,8 @@
     double clockStepBack_ { 0 };
     /// Share of starts and stops that get no answer and are carried out seconds later.
     double delayedCall_ { 0 };
+    /// Such calls outlive a restart of their target: its next incarnation carries them out.
+    bool delayedCallOutlivesRestart_ { false };
     /// Share of the target's answers that are lost.
     double answerLoss_ { 0 };
     /// The target is set to fail either all its tasks or no more of them, with equal probability.
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -131,7 +131,8 @@
     bool isLate = canBeLate && chance(faults_.delayedCall_);
     Duration delay = isLate ? randomDuration(milliseconds(2000), milliseconds(12'000)) : targetDelay;
     at(now_ + delay, [this, &agent, call, isLate, targetIncarnation = agent.target_->incarnation()] {
-        if (now_ >= agent.targetCutUntil_ && agent.target_->incarnation() == targetIncarnation)
+        bool isDelivered = agent.target_->incarnation() == targetIncarnation || (isLate && faults_.delayedCallOutlivesRestart_);
+        if (now_ >= agent.targetCutUntil_ && isDelivered)
             call(*agent.target_, isLate);
     });
     at(now_ + timeout, onNoAnswer);
