A late notice of departure no longer puts a restarted target out of use

The notice names no incarnation. A heartbeat of the known one that reports no drain now undoes it: a target that has left sends none. A drain that a heartbeat has reported stays for good.

--- a/Lagoonpick/Run/TargetState.cpp
+++ b/Lagoonpick/Run/TargetState.cpp
@@ -9,10 +9,11 @@
     if (heartbeat.incarnation_ == incarnation()) {
         if (heartbeat.sequence_ <= heartbeat_.sequence_)
             return Change::None;
-        // Draining can't be undone within an incarnation.
-        bool isDraining = heartbeat.isDraining_ || heartbeat_.isDraining_;
+        // Draining can't be undone within an incarnation. A notice of departure is: it names no incarnation, and a target that has
+        // left sends no heartbeats.
+        isDrainReported_ = isDrainReported_ || heartbeat.isDraining_;
         heartbeat_ = heartbeat;
-        heartbeat_.isDraining_ = isDraining;
+        heartbeat_.isDraining_ = isDrainReported_;
         isStale_ = false;
         return Change::Updated;
     }
@@ -35,6 +36,7 @@
     heartbeat_.incarnation_.startedAt_ = startedAt;
     heartbeat_.sequence_ = 0;
     heartbeat_.isDraining_ = false;
+    isDrainReported_ = false;
     isStale_ = true;
     clock_.reset();
     return true;
@@ -57,6 +59,7 @@
 void TargetState::adopt(const TargetHeartbeat& heartbeat)
 {
     heartbeat_ = heartbeat;
+    isDrainReported_ = heartbeat.isDraining_;
     isAbsent_ = false;
     isStale_ = false;
     clock_.reset();
--- a/Lagoonpick/Run/TargetState.h
+++ b/Lagoonpick/Run/TargetState.h
@@ -37,7 +37,8 @@
     bool acceptClaim();
     void dropClaim() { claim_.reset(); }
 
-    /// Handles a target's notice that it shuts down for good: from then on the target counts as draining.
+    /// Handles a target's notice that it shuts down for good: from then on the target counts as draining. The notice may come from
+    /// a former incarnation, so a later heartbeat of the known one that reports no drain undoes it.
     void handleDeparture(const std::string& id);
 
     /// Records the target's clock, in milliseconds, from an answer that arrives now.
@@ -60,6 +61,8 @@
     void adopt(const TargetHeartbeat& heartbeat);
 
     TargetHeartbeat heartbeat_;
+    /// True if a heartbeat of the known incarnation reported a drain.
+    bool isDrainReported_ { false };
     /// The last heartbeat of another incarnation that is neither accepted nor dropped.
     std::optional<TargetHeartbeat> claim_;
     bool isAbsent_ { false };
--- a/UnitTests/Runs/RunAgentCoreClaimTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreClaimTest.cpp
@@ -268,6 +268,21 @@
     CHECK(agent.starts_.size() == (isDraining ? 1 : 2));
 }
 
+// Guards against: a late notice of departure of a former incarnation put the present one out of use until it restarted.
+TEST_CASE("A notice of departure ends the starts until the target's next heartbeat reports no drain")
+{
+    bool isDrainReported = GENERATE(false, true);
+    ClaimFixture agent;
+    if (isDrainReported)
+        agent.sendHeartbeat(true, 5);
+    agent.core_.handleDeparture("target", agent.now_);
+    agent.startRun(2);
+    CHECK(agent.starts_.size() == 1);
+    agent.sendHeartbeat(false, 5);
+    agent.startRun(3);
+    CHECK(agent.starts_.size() == (isDrainReported ? 1 : 2));
+}
+
 TEST_CASE("An answer of a target's former incarnation that arrives after one of the present is ignored")
 {
     ClaimFixture agent;
