--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -127,6 +127,8 @@
     std::uint64_t startedAt_ { 0 };
     std::vector<RunningRow> running_;
     std::vector<EndedRow> ended_;
+    /// True if the target may have more ends to list than an answer holds: a run that is in neither list may have ended.
+    bool mayHaveMoreEnds_ { false };
 };
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -164,6 +164,23 @@
     CHECK(agent.stops_.empty());
 }
 
+// Guards against: of more than 500 ends at once, those that the first answer had no place for counted as lost.
+TEST_CASE("A run that is in neither list is not lost while the target may have more ends to list")
+{
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    for (int i = 0; i < 3; ++i) {
+        agent.advance(milliseconds(1));
+        agent.answerLease({ .running_ = {}, .ended_ = {}, .mayHaveMoreEnds_ = true });
+    }
+    CHECK(agent.ends().empty());
+    agent.advance(milliseconds(1));
+    agent.answerLease({ .running_ = {}, .ended_ = { { 501, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].end_ == RunEnd::Done);
+}
+
 TEST_CASE("A restored heartbeat opens the target, unless the target is draining or a newer heartbeat has arrived")
 {
     struct Row {
--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -247,6 +247,17 @@
     CHECK(reply.startedAt_ == 77);
 }
 
+TEST_CASE("A list of ends that is as long as an answer can be may not be the whole one")
+{
+    auto [count, mayHaveMore] = GENERATE(table<int, bool>({ { 0, false }, { 499, false }, { 500, true } }));
+    std::string rows;
+    for (int i = 1; i <= count; ++i)
+        rows += (i > 1 ? "," : "") + ("[" + std::to_string(i)) + R"(,"a.0.0.1",1,"done",""])";
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}" });
+    CHECK(reply.ended_.size() == static_cast<std::size_t>(count));
+    CHECK(reply.mayHaveMoreEnds_ == mayHaveMore);
+}
+
 TEST_CASE("The target's id is taken from the path of a heartbeat or departure")
 {
     auto [path, target, isDeparture] = GENERATE(table<std::string, std::string, bool>({
