A signal to reload does not end a program that is still starting

SIGHUP is ignored from the begin of main until the host handles it; the settings file is looked at every second anyway. Not covered: the time before main.

Test, before: RunsProgramTest "A signal to reload ..." failed for both programs.

--- a/RunAgent/main.cpp
+++ b/RunAgent/main.cpp
@@ -2,8 +2,6 @@
 #include "Lagoonpick/Configuration/RunHost.h"
 #include "RunAgent/RunAgentHost.h"
 
-#include <csignal>
-
 namespace {
 
 /// The time in Unix milliseconds, so that the token rises with each incarnation of the agent unless the clock is set back.
@@ -18,11 +16,11 @@
 int main(int argc, char** argv)
 {
     using namespace Lagoonpick;
+    ignoreSignals();
     ProgramInfo info { "lagoonpick-run-agent", "runs tasks on the target beside it, under leases", {}, {} };
     auto loaded = loadSettings(argc, argv, info, readRunAgentSettings);
     if (loaded.exit_)
         return static_cast<int>(*loaded.exit_);
-    std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context context(1);
     loaded.settings_.run_.incarnation_ = Incarnation(generateSeed() | 1);
     loaded.settings_.run_.fencingToken_ = firstFencingToken();
--- a/Soak/RunsProgramTest.cpp
+++ b/Soak/RunsProgramTest.cpp
@@ -5,8 +5,10 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <fstream>
 #include <set>
 #include <sstream>
+#include <sys/stat.h>
 #include <thread>
 
 namespace Lagoonpick::Soak {
@@ -143,6 +145,22 @@
     CHECK(Contract::call(system.agentMetricsAddress(0), "GET", "/metrics").body_.find("lagoonpick_run_ends_total{end=\"done\"} 2") != std::string::npos);
 }
 
+// Guards against: a signal to reload in the first millisecond ended an agent.
+TEST_CASE("A signal to reload that arrives while the settings are read does not end a program", "[RunsProgram]")
+{
+    const auto* program = GENERATE(RUN_AGENT_PROGRAM, JOB_ENTRY_PROGRAM);
+    Contract::TemporaryFolder folder;
+    std::string file = folder.path() + "/settings";
+    REQUIRE(mkfifo(file.c_str(), S_IRUSR | S_IWUSR) == 0);
+    Contract::Process process({ program, "--check", "--config", file }, folder.path() + "/log");
+    // Blocks until the program has opened the file.
+    std::ofstream settings(file);
+    process.sendSignal(SIGHUP);
+    settings << "[agent]\n" << std::flush;
+    settings.close();
+    CHECK(process.waitForExit(timeoutSeconds) == static_cast<int>(ExitCode::BadSettings));
+}
+
 TEST_CASE("A job is stopped when its caller disconnects", "[RunsProgram]")
 {
     SoakSystem system({ 1, 1 });
