The log's buffer stays bounded while a slow reader never reads everything

What had been written was dropped only when all was. It is dropped now in pieces of the buffer's limit, so the buffer holds twice that at most.

Test, before: SupportTest "The log's buffer stays bounded ..." failed.

--- a/Lagoonpick/Observability/EventLog.cpp
+++ b/Lagoonpick/Observability/EventLog.cpp
@@ -94,8 +94,9 @@
             break;
         writtenBytes_ += static_cast<std::size_t>(count);
     }
-    if (writtenBytes_ == buffer_.size()) {
-        buffer_.clear();
+    // A slow reader may never have read everything: what it has read is dropped in large pieces, since that moves the rest.
+    if (writtenBytes_ == buffer_.size() || writtenBytes_ >= maxBufferedBytes_) {
+        buffer_.erase(0, writtenBytes_);
         writtenBytes_ = 0;
     }
 }
--- a/Lagoonpick/Observability/EventLog.h
+++ b/Lagoonpick/Observability/EventLog.h
@@ -44,6 +44,9 @@
     /// Writes as much as standard output accepts without blocking.
     void flush();
 
+    /// The bytes that the buffer holds, at most twice `maxBufferedBytes`.
+    std::size_t heldBytes() const { return buffer_.size(); }
+
     /// The number of lines dropped since the start.
     std::uint64_t linesDropped() const { return droppedTotal_; }
 
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -61,6 +61,31 @@
     CHECK(read.find("\"event\":\"log_lines_dropped\",\"lines\":" + std::to_string(dropped)) != std::string::npos);
 }
 
+// Guards against: what a slow reader had read was kept until it had read everything, so that the buffer grew without bound.
+TEST_CASE("The log's buffer stays bounded while a slow reader never reads everything")
+{
+    constexpr std::size_t maxBytes = 8192;
+    int pipeEnds[2];
+    REQUIRE(pipe(pipeEnds) == 0);
+    int former = dup(STDOUT_FILENO);
+    REQUIRE(dup2(pipeEnds[1], STDOUT_FILENO) >= 0);
+    EventLog log("process", maxBytes);
+    std::size_t mostHeld = 0;
+    for (int round = 0; round < 2000; ++round) {
+        for (int line = 0; line < 100; ++line)
+            log.write(Time(), LogLine("event").number("line", line));
+        log.flush();
+        mostHeld = std::max(mostHeld, log.heldBytes());
+        char buffer[4096];
+        REQUIRE(::read(pipeEnds[0], buffer, sizeof buffer) > 0);
+    }
+    dup2(former, STDOUT_FILENO);
+    close(former);
+    close(pipeEnds[0]);
+    close(pipeEnds[1]);
+    CHECK(mostHeld <= 2 * maxBytes);
+}
+
 TEST_CASE("A suspension is reported once, and only if it is longer than the limit")
 {
     auto [suspension, isReported] = GENERATE(table<int, bool>({ { 10, false }, { 400, false }, { 401, true }, { 5000, true } }));
