An older record of a target can't replace a newer one in the store

One write is under way at a time; saves that come meanwhile share the next. After a write without an answer the store's content counts as unknown.

--- a/ContractTests/EntryDirectoryTest.cpp
+++ b/ContractTests/EntryDirectoryTest.cpp
@@ -1,7 +1,7 @@
+#include "RunAgent/EntryDirectory.h"
 #include "ContractTests/Support/Process.h"
 #include "Lagoonpick/Core/StoreKeys.h"
 #include "Lagoonpick/Transport/Spawn.h"
-#include "RunAgent/EntryDirectory.h"
 #include "StandIns/UsersStoreStandIn.h"
 
 #include <catch2/catch.hpp>
--- a/RunAgent/TargetRecordStore.cpp
+++ b/RunAgent/TargetRecordStore.cpp
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Transport/Spawn.h"
 #include "RunAgent/TargetRecord.h"
 
+#include <utility>
 
 namespace Lagoonpick {
 
@@ -22,17 +23,20 @@
 void TargetRecordStore::save(const TargetHeartbeat& heartbeat, std::function<void(bool)> onSaved)
 {
     auto record = encodeTargetRecord(heartbeat);
-    if (record == storedRecord_) {
+    if (!isWriting_ && record == storedRecord_) {
         onSaved(true);
         return;
     }
-    spawn(context_, write(std::move(record), std::move(onSaved)), "write of the target's record");
+    wantedRecord_ = std::move(record);
+    waiting_.push_back(std::move(onSaved));
+    if (!std::exchange(isWriting_, true))
+        spawn(context_, writeWhileWanted(), "write of the target's record");
 }
 
 boost::asio::awaitable<void> TargetRecordStore::read(std::function<void(const TargetHeartbeat&)> onRestored)
 {
     auto result = co_await store_.read(key_);
-    if (!result || !result.value().item_ || !storedRecord_.empty())
+    if (!result || !result.value().item_ || hasWritten_)
         co_return;
     // A record that can't be decoded is ignored: the target's next heartbeat has everything that the agent needs.
     auto heartbeat = decodeTargetRecord(result.value().item_->value_);
@@ -42,12 +46,19 @@
     onRestored(heartbeat.value());
 }
 
-boost::asio::awaitable<void> TargetRecordStore::write(std::string record, std::function<void(bool)> onSaved)
+boost::asio::awaitable<void> TargetRecordStore::writeWhileWanted()
 {
-    auto result = co_await store_.put(key_, record, {});
-    if (result)
-        storedRecord_ = std::move(record);
-    onSaved(result.has_value());
+    hasWritten_ = true;
+    while (!waiting_.empty()) {
+        auto saves = std::exchange(waiting_, {});
+        std::string record = wantedRecord_;
+        auto result = co_await store_.put(key_, record, {});
+        // A write without an answer may have been carried out.
+        storedRecord_ = result ? std::move(record) : std::string();
+        for (const auto& onSaved : saves)
+            onSaved(result.has_value());
+    }
+    isWriting_ = false;
 }
 
 } // namespace Lagoonpick
--- a/RunAgent/TargetRecordStore.h
+++ b/RunAgent/TargetRecordStore.h
@@ -4,7 +4,7 @@
 #include "platform/StoreClient.h"
 
 #include <functional>
-#include <optional>
+#include <vector>
 
 namespace Lagoonpick {
 
@@ -20,18 +20,25 @@
     /// decoded or this incarnation has written one meanwhile.
     void restore(std::function<void(const TargetHeartbeat&)> onRestored);
 
-    /// Writes the target's record if it has changed, then calls `onSaved` with whether the store is known to hold it.
+    /// Writes the target's record unless the store is known to hold it, then calls `onSaved` with whether it does. One write is
+    /// under way at a time, so that an older record can't replace a newer one; saves that come meanwhile share the next write.
     void save(const TargetHeartbeat& heartbeat, std::function<void(bool)> onSaved);
 
 private:
     boost::asio::awaitable<void> read(std::function<void(const TargetHeartbeat&)> onRestored);
-    boost::asio::awaitable<void> write(std::string record, std::function<void(bool)> onSaved);
+    boost::asio::awaitable<void> writeWhileWanted();
 
     boost::asio::io_context& context_;
     UsersPlatform::StoreClient& store_;
     std::string key_;
-    /// The record that was last read or written; empty before.
+    /// The record that the store is known to hold; empty if that is unknown.
     std::string storedRecord_;
+    std::string wantedRecord_;
+    /// The saves that wait for the next write.
+    std::vector<std::function<void(bool)>> waiting_;
+    bool isWriting_ { false };
+    /// True once this incarnation of the agent has written a record.
+    bool hasWritten_ { false };
 };
 
 } // namespace Lagoonpick
--- a/Soak/RunsProgramTest.cpp
+++ b/Soak/RunsProgramTest.cpp
@@ -156,7 +156,8 @@
     // Blocks until the program has opened the file.
     std::ofstream settings(file);
     process.sendSignal(SIGHUP);
-    settings << "[agent]\n" << std::flush;
+    settings << "[agent]\n"
+             << std::flush;
     settings.close();
     CHECK(process.waitForExit(timeoutSeconds) == static_cast<int>(ExitCode::BadSettings));
 }
