--- a/StandIns/LeasedTarget.cpp
+++ b/StandIns/LeasedTarget.cpp
@@ -113,7 +113,7 @@
     advance(now);
     if (!isMeant(call.expectedTarget_))
         return { .call_ = call.call_, .answer_ = CallAnswer::WrongTarget, .clock_ = {}, .running_ = {}, .ended_ = {} };
-    LeaseReply reply { .call_ = call.call_, .answer_ = CallAnswer::Accepted, .clock_ = clock(now), .startedAt_ = incarnationNumber_, .running_ = {}, .ended_ = {} };
+    LeaseReply reply { .call_ = call.call_, .answer_ = CallAnswer::Accepted, .clock_ = clock(now), .startedAt_ = reportedStart_, .running_ = {}, .ended_ = {} };
     if (call.fencingToken_ < fencingToken_) {
         reply.answer_ = CallAnswer::Fenced;
         return reply;
@@ -134,8 +134,17 @@
     speed_ = speed;
 }
 
-void LeasedTarget::restart(Time now)
+void LeasedTarget::replace(std::string id, std::vector<std::string> labels, Time now)
 {
+    restart(now);
+    id_ = std::move(id);
+    labels_ = std::move(labels);
+}
+
+void LeasedTarget::restart(Time now, bool hasClockSteppedBack)
+{
+    constexpr std::uint64_t clockStep = 1000;
+    reportedStart_ += hasClockSteppedBack ? -clockStep : 1;
     auto lost = std::exchange(running_, {});
     for (const auto& [name, run] : lost)
         hooks_.ended_(name, RunEnd::Lost);
@@ -153,7 +162,7 @@
 
 TargetHeartbeat LeasedTarget::heartbeat()
 {
-    return { .incarnation_ = { id_, incarnationNumber_ }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = { "kind" }, .capacity_ = capacity_, .isDraining_ = isDraining_ };
+    return { .incarnation_ = { id_, reportedStart_ }, .sequence_ = ++sequence_, .service_ = "service", .availabilityZone_ = "a", .labels_ = labels_, .capacity_ = capacity_, .isDraining_ = isDraining_ };
 }
 
 } // namespace Lagoonpick::StandIns
--- a/StandIns/LeasedTarget.h
+++ b/StandIns/LeasedTarget.h
@@ -54,8 +54,11 @@
     CallReply receive(const StopCall& stop, Time now);
     LeaseReply receive(const LeaseCall& call, Time now);
 
-    /// Restarts the target under the same id: its runs are lost; lease, fencing token, start numbers and ends are reset.
-    void restart(Time now);
+    /// Restarts the target under the same id: its runs are lost; lease, fencing token, start numbers and ends are reset. Its
+    /// reported start time is lower than before if its clock has stepped back.
+    void restart(Time now, bool hasClockSteppedBack = false);
+    /// Puts another target in its place, at the same address.
+    void replace(std::string id, std::vector<std::string> labels, Time now);
     /// While set, each run that completes its work ends as failed.
     void setFailing(bool isFailing) { isFailing_ = isFailing; }
     /// While set, runs that begin make no progress, so never end by themselves.
@@ -66,6 +69,7 @@
     bool isDraining() const { return isDraining_; }
 
     TargetHeartbeat heartbeat();
+    const std::vector<std::string>& labels() const { return labels_; }
     const std::map<RunName, Running>& running() const { return running_; }
     /// Number of the current incarnation; rises with each restart. A call that was sent to an earlier incarnation is lost
     /// with its connection.
@@ -81,11 +85,14 @@
     void finish(const RunName& name, Wire::RunEnd end);
 
     std::string id_;
+    std::vector<std::string> labels_ { "kind" };
     Wire::Resources capacity_;
     double clockRate_;
     Hooks hooks_;
     Time startedAt_;
     std::uint64_t incarnationNumber_ { 1 };
+    /// The start time that it reports.
+    std::uint64_t reportedStart_ { 1'000'000 };
     std::uint64_t sequence_ { 0 };
     bool isDraining_ { false };
     bool isFailing_ { false };
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -25,6 +25,8 @@
 /// A process that handled no input for longer was suspended.
 constexpr Duration maxSuspension = milliseconds(400);
 constexpr Duration heartbeatInterval = milliseconds(1500);
+/// Time within which a drain must be acknowledged.
+constexpr Duration maxDrainReportTime = milliseconds(4000);
 /// Capacity of a target, and needs of a task, when there is no plan.
 const Wire::Resources capacity { 10'000, 10'000, 0 };
 const Wire::Resources need { 1'000, 64, 0 };
@@ -181,12 +183,28 @@
         return;
     deliverToAgent(agent, agent.incarnationCount_, [this, &agent, heartbeat = agent.target_->heartbeat()] {
         agent.core_->receive(heartbeat, now_);
-        bool isKnown = agent.core_->target().incarnation() == heartbeat.incarnation_;
-        if (agent.target_->isDraining() && heartbeat.isDraining_ && isKnown && !agent.drainAcknowledgedAt_)
-            agent.drainAcknowledgedAt_ = now_;
+        if (agent.target_->isDraining() && heartbeat.isDraining_ && !agent.drainAcknowledgedAt_)
+            recordDrain(agent, heartbeat);
     });
 }
 
+/// Records how the agent's host answers the heartbeat of a draining target: it acknowledges the drain of the known one only.
+void RunWorld::recordDrain(Agent& agent, const TargetHeartbeat& heartbeat)
+{
+    if (agent.core_->target().incarnation() == heartbeat.incarnation_)
+        agent.drainAcknowledgedAt_ = now_;
+    else if (!agent.drainReportedAt_)
+        agent.drainReportedAt_ = now_;
+    else if (now_ - *agent.drainReportedAt_ > maxDrainReportTime)
+        reportViolation("drain not acknowledged on target " + std::to_string(agent.index_));
+}
+
+void RunWorld::resetDrain(Agent& agent)
+{
+    agent.drainAcknowledgedAt_.reset();
+    agent.drainReportedAt_.reset();
+}
+
 void RunWorld::deliverToEntry(Entry& entry, std::uint64_t incarnation, const std::function<void()>& input)
 {
     if (!entry.isUp_ || entry.incarnationCount_ != incarnation)
@@ -280,7 +298,10 @@
         std::string id = "job" + std::to_string(++lastJob_);
         std::uint32_t tasks = std::uniform_int_distribution<std::uint32_t>(1, 6)(random_);
         JobRequest request { .id_ = id, .host_ = "host", .path_ = "/queue/", .payload_ = "payload", .taskCount_ = tasks, .need_ = need, .estimate_ = milliseconds(200), .callerTimeout_ = randomDuration(milliseconds(500), milliseconds(3000)) };
+        if (faults_.targetReplacement_ > 0 && chance(0.5))
+            request.requiredLabel_ = requiredLabel;
         jobs_[id].taskCount_ = tasks;
+        jobs_[id].requiredLabel_ = request.requiredLabel_;
         ++jobsSent_;
         sendJob(id, request, 1);
         // A job has 3.5 tasks of about 0.3 s on average, and the targets have 40 slots: at load 1, a job arrives every 26 ms.
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -24,6 +24,10 @@
     /// The link delays all messages for up to 3 s without closing.
     double linkCut_ { 0 };
     double targetRestart_ { 0 };
+    /// Share of these restarts before which the target's clock has stepped back.
+    double targetClockStepBack_ { 0 };
+    /// Another target takes the place of the agent's, by half without the label that half of the jobs require then.
+    double targetReplacement_ { 0 };
     /// Calls to the target and its heartbeats are lost for up to 2.5 s.
     double targetCut_ { 0 };
     /// The target drains until it restarts.
@@ -148,6 +152,9 @@
     void startAgent(Agent& agent);
     void sendHeartbeat(Agent& agent);
     void sendStrayHeartbeat(Agent& agent);
+    void recordDrain(Agent& agent, const TargetHeartbeat& heartbeat);
+    /// Forgets the drain of a target or an agent that has ended.
+    void resetDrain(Agent& agent);
     /// Called by a target when a run starts or ends there.
     void runStarted(std::size_t target, const RunName& name);
     void runEnded(std::size_t target, const RunName& name, Wire::RunEnd end);
@@ -194,6 +201,8 @@
         /// Names of the tasks that were done on a target.
         std::set<std::string> doneTasks_;
         std::uint32_t taskCount_ { 0 };
+        /// Label that the job's targets must have; empty for none.
+        std::string requiredLabel_;
     };
     std::map<std::string, JobRecord> jobs_;
     std::vector<std::string> violations_;
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -32,7 +32,7 @@
         if (link->agent_ == &agent)
             closeLink(*link, true, false);
     }
-    agent.drainAcknowledgedAt_.reset();
+    resetDrain(agent);
     at(now_ + randomDuration(milliseconds(50), milliseconds(1500)), [this, &agent] { startAgent(agent); });
 }
 
@@ -49,9 +49,17 @@
 void RunWorld::injectTargetFaults(Agent& agent)
 {
     if (chance(faults_.targetRestart_)) {
-        agent.target_->restart(now_);
+        agent.target_->restart(now_, faults_.targetClockStepBack_ > 0 && chance(faults_.targetClockStepBack_));
         resetCalls(agent);
-        agent.drainAcknowledgedAt_.reset();
+        resetDrain(agent);
+    }
+    if (faults_.targetReplacement_ > 0 && chance(faults_.targetReplacement_)) {
+        std::string id = "target-" + std::to_string(agent.index_) + "-" + std::to_string(agent.target_->incarnation() + 1);
+        agent.target_->replace(id, { chance(0.5) ? requiredLabel : "other" }, now_);
+        resetCalls(agent);
+        resetDrain(agent);
+        // A target reports as soon as it is up.
+        sendHeartbeat(agent);
     }
     if (chance(faults_.targetCut_))
         agent.targetCutUntil_ = now_ + randomDuration(milliseconds(50), milliseconds(2500));
--- a/UnitTests/Runs/RunWorldParts.h
+++ b/UnitTests/Runs/RunWorldParts.h
@@ -13,6 +13,9 @@
 /// Maximum number of times that a caller sends a job.
 inline constexpr int maxAttempts = 3;
 
+/// The label that half of the jobs require when targets are replaced.
+inline constexpr auto requiredLabel = "kind";
+
 /// A link between one incarnation of an entry and one of an agent.
 struct RunWorld::Link {
     LinkId id_;
@@ -56,6 +59,8 @@
     Time targetCutUntil_;
     /// When the agent received the first heartbeat that reports the drain of its target.
     std::optional<Time> drainAcknowledgedAt_;
+    /// When the agent received the first heartbeat of a draining target that it has not acknowledged.
+    std::optional<Time> drainReportedAt_;
     /// Deviation, in milliseconds, of the clock from which the agent takes its fencing token.
     std::int64_t clockOffsetMs_ { 0 };
     /// Inputs that arrived while the process was suspended.
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -173,6 +173,9 @@
     JobRecord& record = jobs_[job];
     record.hasStarted_ = true;
     ++tasksStarted_;
+    const auto& labels = agents_[target]->target_->labels();
+    if (!record.requiredLabel_.empty() && std::find(labels.begin(), labels.end(), record.requiredLabel_) == labels.end())
+        reportViolation("task started without the label that it requires: " + name.task_);
     if (!record.isOpen_ && record.wasOnlyRejected_)
         reportViolation("task of a rejected job started: " + name.task_);
 }
