A start that a target's next incarnation rejects is not sent there again

It is rejected by its fencing token, and the entry chose the former incarnation. Test: RunAgentCoreClaimTest "A start that its target's next ...".

--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -133,7 +133,9 @@
         }
         return;
     case CallAnswer::Fenced:
-        raiseFencingToken(now);
+        // Calls to the present incarnation carry a higher token already.
+        if (!run->isSentToFormer_)
+            raiseFencingToken(now);
         break;
     case CallAnswer::NoRoom:
         ++counters_.startsWithoutRoom_;
@@ -153,11 +155,11 @@
         end(reply.call_, RunEnd::NotStarted, NotStartedReason::Rejected, now);
         return;
     }
-    // The target did nothing and may accept the same run later.
-    if (isStarting)
+    // The target did nothing and may accept the same run later, unless the entry chose a former incarnation of it.
+    if (isStarting && !run->isSentToFormer_)
         run->phase_ = RunPhase::Queued;
     else
-        end(reply.call_, RunEnd::NotStarted, run->reason_, now);
+        end(reply.call_, RunEnd::NotStarted, isStarting ? NotStartedReason::TargetUnavailable : run->reason_, now);
     markReportsDue();
 }
 
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -172,7 +172,7 @@
     // The entries chose the former incarnation for them; the present one may serve another service or lack a label.
     refuseQueued(NotStartedReason::TargetUnavailable, now);
     for (auto& [id, run] : runs_.rows())
-        run.mayHaveBegun_ = true;
+        run.isSentToFormer_ = true;
     markReportsDue();
 }
 
@@ -222,7 +222,7 @@
     }
     for (RunId id : missing) {
         const Run& run = *runs_.find(id);
-        if (run.isConfirmed_ || run.mayHaveBegun_)
+        if (run.isConfirmed_ || run.isSentToFormer_)
             end(id, RunEnd::Lost, NotStartedReason::None, now);
         else
             end(id, RunEnd::NotStarted, run.reason_, now);
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -40,9 +40,9 @@
     bool isConfirmed_ { false };
     /// When the start was found to be unanswered; the next list shows whether the run has begun.
     std::optional<Time> unansweredAt_;
-    /// True once the target has restarted since the run was sent: nothing that its present incarnation says proves that the
-    /// run never began on a former one.
-    bool mayHaveBegun_ { false };
+    /// True if the run was sent to a former incarnation of the target: nothing that the present one says proves that it never
+    /// began.
+    bool isSentToFormer_ { false };
     /// True once the target has accepted a stop: it will not begin the run any more.
     bool isStopAnswered_ { false };
     Time startSentAt_;
--- a/UnitTests/Runs/RunAgentCoreClaimTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreClaimTest.cpp
@@ -199,6 +199,21 @@
         CHECK(agent.ends()[0].reason_ == NotStartedReason::TargetUnavailable);
 }
 
+TEST_CASE("A start that its target's next incarnation rejects by its fencing token is not sent there again")
+{
+    ClaimFixture agent;
+    agent.startRun(2);
+    agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    agent.sendHeartbeat(false, 9);
+    auto token = agent.leases_.back().fencingToken_;
+    agent.reply(1, CallAnswer::Fenced);
+    CHECK(agent.starts_.size() == 2);
+    REQUIRE_FALSE(agent.ends().empty());
+    CHECK(agent.ends().back().reason_ == NotStartedReason::TargetUnavailable);
+    agent.answerLease({ .startedAt_ = 9, .running_ = {}, .ended_ = {} });
+    CHECK(agent.leases_.back().fencingToken_ == token);
+}
+
 // Guards against: a caller was told that nothing had run, though the target had begun its task and crashed (review, case 3).
 TEST_CASE("A run that was sent to a target's former incarnation counts as lost, whatever the present one says of it")
 {
