--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -20,6 +20,10 @@
 const std::string validJob = R"({"spec":"text","steps":[{"count":6,"cpu":1350,"mem_mb":64,"estimate_ms":52,"affinity":"r1-3"}],"best_effort":true})";
 const std::string validHeartbeat = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":77})";
 
+const std::string validConfiguration = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","priority":1,"max_attempts":3,"slack_factor":1.6,"target_completion_ms":60}]})";
+const std::string validLists = R"({"clock_ms":482113,"born":77,"running":[["a.0.0.1",2,"",41,0.5]],"finished":[[58,"a.0.0.9",1,"done",""]]})";
+const std::string validRecord = R"({"target":"i","born_ms":77,"service":"s","availability_zone":"z","labels":["a"],"milli_cores":16000,"memory_mb":1,"accelerators":0,"draining":true})";
+
 /// Index of `MalformedCall` among the alternatives of a job call.
 constexpr std::size_t malformedCall = 5;
 
@@ -291,14 +295,23 @@
         (void)decodeHeartbeat("i", text);
         (void)decodeConfiguration(text);
         (void)decodeLeaseReply(1, { ExchangeStage::Answered, 200, text });
+        (void)decodeCallReply(1, { ExchangeStage::Answered, 409, text });
+        (void)decodeTargetRecord(text);
         (void)decodeJobCall(makeRequest("POST", "/p/" + id, text));
     });
     rc::prop("damaged messages", [] {
-        std::string text = *rc::gen::element(validJob, validHeartbeat);
+        std::string text = *rc::gen::element(validJob, validHeartbeat, validConfiguration, validLists, validRecord);
         auto place = *rc::gen::inRange<std::size_t>(0, text.size());
-        text[place] = *rc::gen::arbitrary<char>();
-        text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
+        // Mostly a character of JSON, so that the text stays readable more often.
+        text[place] = *rc::gen::oneOf(rc::gen::arbitrary<char>(), rc::gen::element('0', '9', '-', '.', 'e', '"', '[', ']', '{', '}', ',', ':'));
+        bool isCut = *rc::gen::inRange(0, 4) == 0;
+        if (isCut)
+            text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
         (void)decodeHeartbeat("i", text);
+        (void)decodeConfiguration(text);
+        (void)decodeLeaseReply(1, { ExchangeStage::Answered, 200, text });
+        (void)decodeCallReply(1, { ExchangeStage::Answered, 409, text });
+        (void)decodeTargetRecord(text);
         (void)decodeJobCall(makeRequest("POST", "/p/" + id, text));
     });
 }
