Numbers beyond the limits of their fields are left out or limited, never cut

A start number above 32 bits in a target's lists was cut and then named another start of the task; a clock or a time beyond 64 bits of microseconds wrapped.

Test: CodecTest "Numbers beyond the limits ..." (written with the change; by reading, each of its checks failed before).

--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -259,7 +259,23 @@
         rows += (i > 1 ? "," : "") + ("[" + std::to_string(i)) + R"(,"a.0.0.1",1,"done",""])";
     auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}" });
     CHECK(reply.ended_.size() == static_cast<std::size_t>(count));
-    CHECK(reply.mayHaveMoreEnds_ == mayHaveMore);
+    CHECK(reply.isPartial_ == mayHaveMore);
+}
+
+// Guards against: a number too large was cut to 32 bits and then named another start of the task, or a time wrapped.
+TEST_CASE("Numbers beyond the limits of their fields are left out or limited, never cut")
+{
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":18446744073709551615,"running":[["a.0.0.1",4294967298,"",41],["a.0.0.2",2,"",4294967337]],"finished":[[58,"a.0.0.9",4294967297,"done",""]]})" });
+    CHECK_FALSE(reply.clock_);
+    REQUIRE(reply.running_.size() == 1);
+    CHECK(reply.running_[0].percent_ == 100);
+    CHECK(reply.ended_.empty());
+    auto queues = decodeConfiguration(R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","service":"s","priority":4294967297,"max_attempts":4294967296,"target_completion_ms":18446744073709551615}]})");
+    REQUIRE(queues.has_value());
+    const auto& rule = queues.value().rules().at(0);
+    CHECK(rule.priority_ == 1'000'000'000);
+    CHECK(rule.maxAttempts_ == 1'000'000'000);
+    CHECK(rule.allowance_ == std::chrono::hours(24));
 }
 
 TEST_CASE("The target's id is taken from the path of a heartbeat or departure")
