A run whose row in a target's list can't be read is not lost

A row that could not be decoded was skipped, and a run that is in neither list counts as lost: its task would have run twice. Lists with such a row, or one list without the other, are partial now, like a list of ends that may have more; they prove no loss.

Test: CodecTest "Lists with a row that can't be decoded ..."; RunAgentCoreLeaseTest "A run that is in neither list ...".

--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -217,7 +217,7 @@
         if (run.phase_ == RunPhase::Starting && run.unansweredAt_ && *run.unansweredAt_ <= sentAt && !listed.contains(id))
             revokeStart(id, run, now);
         bool mustBeListed = run.phase_ == RunPhase::Running || (run.phase_ == RunPhase::Stopping && run.isStopAnswered_);
-        if (mustBeListed && !reply.mayHaveMoreEnds_ && !listed.contains(id) && run.answeredAt_ < sentAt)
+        if (mustBeListed && !reply.isPartial_ && !listed.contains(id) && run.answeredAt_ < sentAt)
             missing.push_back(id);
     }
     for (RunId id : missing) {
--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -127,8 +127,9 @@
     std::uint64_t startedAt_ { 0 };
     std::vector<RunningRow> running_;
     std::vector<EndedRow> ended_;
-    /// True if the target may have more ends to list than an answer holds: a run that is in neither list may have ended.
-    bool mayHaveMoreEnds_ { false };
+    /// True if a list may lack a run: a row could not be read, or there may be more ends than an answer holds. A run that is in
+    /// neither list may still be running or have ended then.
+    bool isPartial_ { false };
 };
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -172,7 +172,7 @@
     agent.reply(0, CallAnswer::Accepted);
     for (int i = 0; i < 3; ++i) {
         agent.advance(milliseconds(1));
-        agent.answerLease({ .running_ = {}, .ended_ = {}, .mayHaveMoreEnds_ = true });
+        agent.answerLease({ .running_ = {}, .ended_ = {}, .isPartial_ = true });
     }
     CHECK(agent.ends().empty());
     agent.advance(milliseconds(1));
--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -249,6 +249,22 @@
     CHECK(reply.ended_[0].end_ == Wire::RunEnd::Done);
     CHECK(reply.ended_[1].end_ == Wire::RunEnd::Stopped);
     CHECK(reply.startedAt_ == 77);
+    CHECK(reply.isPartial_);
+}
+
+// Guards against: a run whose row could not be read counted as lost, though it ran on.
+TEST_CASE("Lists with a row that can't be decoded, or without one of the lists, are partial")
+{
+    auto [text, isPartial] = GENERATE(table<std::string, bool>({
+        { R"({"running":[],"finished":[]})", false },
+        { R"({"running":[["a.0.0.1",2,"",41]],"finished":[[1,"a.0.0.1",1,"done",""]]})", false },
+        { R"({"running":[["a.0.0.1","2","",41]],"finished":[]})", true },
+        { R"({"running":[],"finished":[[1]]})", true },
+        { R"({"running":[]})", true },
+        { R"({"finished":[]})", true },
+        { R"({"running":{},"finished":[]})", true },
+    }));
+    CHECK(decodeLeaseReply(1, { ExchangeStage::Answered, 200, text }).isPartial_ == isPartial);
 }
 
 TEST_CASE("A list of ends that is as long as an answer can be may not be the whole one")
