--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -20,6 +20,7 @@
         { .name_ = "links are cut", .linkCut_ = 0.02 },
         { .name_ = "targets restart", .targetRestart_ = 0.01 },
         { .name_ = "targets restart after their clocks stepped back, and drain", .agentKill_ = 0.01, .targetRestart_ = 0.02, .targetClockStepBack_ = 0.5, .targetDrain_ = 0.01 },
+        { .name_ = "targets crash as they begin a task", .crashAtStart_ = 0.2, .load_ = 0.2 },
         { .name_ = "other targets take their places", .targetReplacement_ = 0.02, .load_ = 1.2 },
         { .name_ = "other targets take their places while links and agents fail", .agentKill_ = 0.01, .linkCut_ = 0.01, .targetReplacement_ = 0.02, .targetCut_ = 0.01, .answerLoss_ = 0.02 },
         { .name_ = "targets are cut off", .targetCut_ = 0.02 },
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -26,6 +26,8 @@
     double targetRestart_ { 0 };
     /// Share of these restarts before which the target's clock has stepped back.
     double targetClockStepBack_ { 0 };
+    /// Share of the starts at which the target crashes as it begins the task, without an answer; it is back under its id at once.
+    double crashAtStart_ { 0 };
     /// Another target takes the place of the agent's, by half without the label that half of the jobs require then.
     double targetReplacement_ { 0 };
     /// Calls to the target and its heartbeats are lost for up to 2.5 s.
@@ -140,6 +142,8 @@
     void sendLease(Agent& agent, const LeaseCall& call);
     void recordCall(Agent& agent, Duration timeout, std::function<void()> onNoAnswer);
     void resetCalls(Agent& agent);
+    /// Restarts an agent's target under its id.
+    void restartTarget(Agent& agent);
     /// Has an agent choose its entries anew: connects it to those that are new and closes its links to those that it left.
     void selectEntries(Agent& agent);
     void connect(Entry& entry, Agent& agent);
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -48,11 +48,8 @@
 
 void RunWorld::injectTargetFaults(Agent& agent)
 {
-    if (chance(faults_.targetRestart_)) {
-        agent.target_->restart(now_, faults_.targetClockStepBack_ > 0 && chance(faults_.targetClockStepBack_));
-        resetCalls(agent);
-        resetDrain(agent);
-    }
+    if (chance(faults_.targetRestart_))
+        restartTarget(agent);
     if (faults_.targetReplacement_ > 0 && chance(faults_.targetReplacement_)) {
         std::string id = "target-" + std::to_string(agent.index_) + "-" + std::to_string(agent.target_->incarnation() + 1);
         agent.target_->replace(id, { chance(0.5) ? requiredLabel : "other" }, now_);
@@ -71,6 +68,13 @@
         sendStrayHeartbeat(agent);
 }
 
+void RunWorld::restartTarget(Agent& agent)
+{
+    agent.target_->restart(now_, faults_.targetClockStepBack_ > 0 && chance(faults_.targetClockStepBack_));
+    resetCalls(agent);
+    resetDrain(agent);
+}
+
 void RunWorld::sendStrayHeartbeat(Agent& agent)
 {
     TargetHeartbeat heartbeat = agent.target_->heartbeat();
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -63,7 +63,10 @@
             CallReply answer = target.receive(start, now_, isLate);
             if (agent.drainAcknowledgedAt_ && answer.answer_ == CallAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainGracePeriod)
                 reportViolation("task started on a draining target: " + start.name_.task_);
-            if (isLate || chance(faults_.answerLoss_))
+            bool hasCrashed = faults_.crashAtStart_ > 0 && answer.answer_ == CallAnswer::Accepted && chance(faults_.crashAtStart_);
+            if (hasCrashed)
+                restartTarget(agent);
+            if (hasCrashed || isLate || chance(faults_.answerLoss_))
                 return;
             at(now_ + targetDelay, [this, &agent, answer, incarnation] {
                 deliverToAgent(agent, incarnation, [this, &agent, answer] { agent.core_->receiveStartReply(answer, now_); });
