--- a/ContractTests/EntryDirectoryTest.cpp
+++ b/ContractTests/EntryDirectoryTest.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
 /// A directory of the entries in a stand-in of the store, on one context.
 struct DirectoryFixture {
     boost::asio::io_context context_ { 1 };
--- a/Lagoonpick/Run/AddressTable.cpp
+++ b/Lagoonpick/Run/AddressTable.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-void AddressTable::record(const std::string& address, Time now)
+bool AddressTable::record(const std::string& address, Time now)
 {
     if (!isDestinationAddress(address))
-        return;
+        return false;
     if (recordedAt_.size() >= maxAddresses)
         removeExpired(now);
     auto found = recordedAt_.find(address);
@@ -29,6 +29,7 @@
         found->second = now;
     else if (recordedAt_.size() < maxAddresses)
         recordedAt_.emplace(address, now);
+    return true;
 }
 
 std::vector<std::string> AddressTable::addresses(Time now) const
--- a/RunAgent/EntryDirectory.cpp
+++ b/RunAgent/EntryDirectory.cpp
@@ -1,6 +1,5 @@
 #include "RunAgent/EntryDirectory.h"
 
-#include "Lagoonpick/Core/SocketAddress.h"
 #include "Lagoonpick/Core/StoreKeys.h"
 #include "Lagoonpick/Transport/Spawn.h"
 
@@ -55,9 +54,9 @@
 
 void EntryDirectory::record(const UsersPlatform::StoredItem& item)
 {
-    if (isDestinationAddress(item.value_))
-        knownAddresses_.record(item.value_, clock_.now());
-    else if (unreadableKeys_.size() < maxUnreadableKeys && unreadableKeys_.insert(item.key_).second)
+    if (knownAddresses_.record(item.value_, clock_.now()))
+        return;
+    if (unreadableKeys_.size() < maxUnreadableKeys && unreadableKeys_.insert(item.key_).second)
         events_.onUnreadable_(item.key_);
 }
 
