The proof in virtual time plays messages that arrive late, starved processes and machines replaced under their agents' names

The proof had links of a fixed latency, which dropped what was in transit when they closed, and only rare stalls of 0.1 to 3 s, so no row could play it. Now: ways between agents and entries that get slow little by little, also with the way up lost; messages and the close of a link arrive in order, so that what a killed entry or an aborted link still had under way is delivered first; agents connect again only once they know of the close; processes that don't run for 100 to 390 ms again and again; machines replaced under their agents' names while the former ones run on.

A failed seed no longer ends its row, so that a run tells how many fail.

--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -6,7 +6,34 @@
 
 namespace Lagoonpick {
 
-TEST_CASE("No fault makes two runs of a task overlap, exceeds a target's capacity or makes an answer wrong")
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Plays histories with the seeds that the environment names, by default `defaultSeeds` of them.
+void checkHistories(const RunFaults& faults, std::uint64_t defaultSeeds)
+{
+    if (const char* row = std::getenv("RUN_HISTORY_ROW"); row && row != faults.name_)
+        return;
+    std::uint64_t done = 0;
+    const std::uint64_t first = numberFromEnvironment("RUN_HISTORY_FIRST_SEED", 1);
+    const std::uint64_t end = first + numberFromEnvironment("RUN_HISTORY_SEEDS", defaultSeeds);
+    for (std::uint64_t seed = first; seed < end; ++seed) {
+        RunWorld world(faults, seed);
+        world.run(std::chrono::seconds(30));
+        INFO(faults.name_ << ", seed " << seed << ", " << world.jobsDone() << " of " << world.jobsSent() << " jobs done");
+        for (const auto& text : world.violations())
+            UNSCOPED_INFO(text);
+        CHECK(world.violations().empty());
+        done += world.jobsDone();
+    }
+    INFO(faults.name_);
+    CHECK(done > 0);
+}
+
+} // namespace
+
+TEST_CASE("No fault makes two runs of a task overlap, exceeds a target's capacity or makes an answer wrong", "[RunHistory]")
 {
     auto faults = GENERATE(values<RunFaults>({
         { .name_ = "none" },
@@ -36,22 +63,34 @@
         { .name_ = "callers leave", .callerDisconnect_ = 0.4, .load_ = 1 },
         { .name_ = "everything", .agentKill_ = 0.005, .entryKill_ = 0.005, .entrySuspension_ = 0.005, .agentSuspension_ = 0.005, .linkReset_ = 0.01, .linkCut_ = 0.005, .targetRestart_ = 0.003, .targetCut_ = 0.005, .targetDrain_ = 0.002, .clockStepBack_ = 0.05, .delayedCall_ = 0.02, .answerLoss_ = 0.02, .targetFailure_ = 0.01, .callerDisconnect_ = 0.1, .load_ = 0.9 },
     }));
-    if (const char* row = std::getenv("RUN_HISTORY_ROW"); row && row != faults.name_)
-        return;
-    std::uint64_t done = 0;
-    const std::uint64_t first = numberFromEnvironment("RUN_HISTORY_FIRST_SEED", 1);
-    const std::uint64_t end = first + numberFromEnvironment("RUN_HISTORY_SEEDS", 12);
-    for (std::uint64_t seed = first; seed < end; ++seed) {
-        RunWorld world(faults, seed);
-        world.run(std::chrono::seconds(30));
-        INFO(faults.name_ << ", seed " << seed << ", " << world.jobsDone() << " of " << world.jobsSent() << " jobs done");
-        for (const auto& text : world.violations())
-            UNSCOPED_INFO(text);
-        REQUIRE(world.violations().empty());
-        done += world.jobsDone();
-    }
-    INFO(faults.name_);
-    CHECK(done > 0);
+    checkHistories(faults, 12);
+}
+
+TEST_CASE("Messages that are handled late, and processes that get little processor time, make no two runs of a task overlap", "[.][RunHistoryOfLateMessages]")
+{
+    auto faults = GENERATE(values<RunFaults>({
+        { .name_ = "ways get slow by 300 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(300) },
+        { .name_ = "ways get slow by 600 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600) },
+        { .name_ = "ways get slow by 2 s", .slowWay_ = 0.03, .maxLatency_ = milliseconds(2000) },
+        { .name_ = "ways get slow by 600 ms while links are reset and cut", .linkReset_ = 0.02, .linkCut_ = 0.02, .slowWay_ = 0.03, .maxLatency_ = milliseconds(600) },
+        { .name_ = "the way up is lost while the way down gets slow by 300 ms", .maxLatency_ = milliseconds(300), .lostWayUp_ = 0.01 },
+        { .name_ = "the way up is lost while the way down gets slow by 600 ms", .maxLatency_ = milliseconds(600), .lostWayUp_ = 0.01 },
+        { .name_ = "the way up is lost while the way down gets slow by 2 s", .maxLatency_ = milliseconds(2000), .lostWayUp_ = 0.01 },
+        { .name_ = "entries are killed while what they sent is on its way", .entryKill_ = 0.02, .slowWay_ = 0.03, .maxLatency_ = milliseconds(2000) },
+        { .name_ = "callers leave while what entries sent is on its way", .slowWay_ = 0.03, .maxLatency_ = milliseconds(2000), .callerDisconnect_ = 0.4 },
+        { .name_ = "agents are starved", .agentStall_ = 0.3 },
+        { .name_ = "agents are starved while links are reset and cut", .linkReset_ = 0.05, .linkCut_ = 0.05, .agentStall_ = 0.3 },
+        { .name_ = "agents are starved while entries are killed", .entryKill_ = 0.02, .agentStall_ = 0.3 },
+        { .name_ = "entries are starved", .entryStall_ = 0.3 },
+        { .name_ = "entries are starved while ways get slow by 600 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .entryStall_ = 0.3 },
+        { .name_ = "agents and entries are starved while links are reset", .linkReset_ = 0.05, .entryStall_ = 0.3, .agentStall_ = 0.3 },
+        { .name_ = "agents are starved while targets restart", .agentStall_ = 0.3, .targetRestart_ = 0.02 },
+        { .name_ = "agents are starved while targets restart and are cut off, links are cut and answers are lost", .linkCut_ = 0.03, .agentStall_ = 0.3, .targetRestart_ = 0.02, .targetCut_ = 0.02, .answerLoss_ = 0.02 },
+        { .name_ = "machines are replaced under their agents' names", .machineReplacement_ = 0.005 },
+        { .name_ = "machines are replaced under their agents' names while ways get slow", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .machineReplacement_ = 0.005 },
+        { .name_ = "everything late", .agentKill_ = 0.005, .entryKill_ = 0.005, .linkReset_ = 0.02, .linkCut_ = 0.01, .slowWay_ = 0.02, .maxLatency_ = milliseconds(2000), .lostWayUp_ = 0.005, .entryStall_ = 0.1, .agentStall_ = 0.1, .targetRestart_ = 0.003, .targetCut_ = 0.005, .delayedCall_ = 0.02, .answerLoss_ = 0.02, .callerDisconnect_ = 0.1, .load_ = 0.9 },
+    }));
+    checkHistories(faults, 12);
 }
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -55,20 +55,11 @@
         startEntry(*entries_.back());
     }
     for (std::size_t i = 0; i < (plan_ ? plan_->targets_.size() : agentCount); ++i) {
-        auto agent = std::make_unique<Agent>();
-        agent->index_ = i;
-        StandIns::LeasedTarget::Hooks hooks {
-            [this, i](const RunName& name) { runStarted(i, name); },
-            [this, i](const RunName& name, RunEnd end) { runEnded(i, name, end); },
-            [this](const RunName& name) { return describeRun(name); }
-        };
-        double clockRate = 1 - 0.02 * std::uniform_real_distribution<double>(0, 1)(random_);
-        agent->target_ = std::make_unique<StandIns::LeasedTarget>("target-" + std::to_string(i), plan_ ? plan_->targets_[i].capacity_ : capacity, clockRate, hooks);
-        agent->target_->restart(now_);
+        std::string number = std::to_string(i);
+        Agent& agent = addMachine("agent-" + number, "target-" + number, plan_ ? plan_->targets_[i].capacity_ : capacity);
         if (plan_)
-            agent->target_->setSpeed(plan_->targets_[i].speed_, now_);
-        agents_.push_back(std::move(agent));
-        startAgent(*agents_.back());
+            agent.target_->setSpeed(plan_->targets_[i].speed_, now_);
+        startAgent(agent);
     }
 }
 
@@ -104,10 +95,27 @@
     violations_.push_back(std::to_string(toUnixMilliseconds(now_)) + " " + std::move(text));
 }
 
+RunWorld::Agent& RunWorld::addMachine(std::string agentName, std::string target, const Wire::Resources& capacity)
+{
+    std::size_t index = agents_.size();
+    StandIns::LeasedTarget::Hooks hooks {
+        [this, index](const RunName& name) { runStarted(index, name); },
+        [this, index](const RunName& name, RunEnd end) { runEnded(index, name, end); },
+        [this](const RunName& name) { return describeRun(name); }
+    };
+    double clockRate = 1 - 0.02 * std::uniform_real_distribution<double>(0, 1)(random_);
+    auto& agent = agents_.emplace_back(std::make_unique<Agent>());
+    agent->index_ = index;
+    agent->name_ = std::move(agentName);
+    agent->target_ = std::make_unique<StandIns::LeasedTarget>(std::move(target), capacity, clockRate, hooks);
+    agent->target_->restart(now_);
+    return *agent;
+}
+
 void RunWorld::startEntry(Entry& entry)
 {
     JobEntryCoreSettings settings;
-    settings.name_ = "entry";
+    settings.name_ = entry.address_;
     settings.incarnation_ = Incarnation(++lastIncarnation_);
     settings.linkAddress_ = entry.address_;
     entry.core_ = std::make_unique<JobEntryCore>(settings, random_());
@@ -138,7 +146,7 @@
 void RunWorld::startAgent(Agent& agent)
 {
     RunAgentCoreSettings settings;
-    settings.name_ = "agent-" + std::to_string(agent.index_);
+    settings.name_ = agent.name_;
     settings.incarnation_ = Incarnation(++lastIncarnation_);
     settings.maxEntries_ = plan_ ? plan_->load_.maxEntries_ : faults_.maxEntries_;
     settings.fencingToken_ = static_cast<std::uint64_t>(toUnixMilliseconds(now_) + agent.clockOffsetMs_);
@@ -272,10 +280,10 @@
 void RunWorld::applyEntryEffects(Entry& entry)
 {
     auto effects = entry.core_->takeEffects();
-    trace("entry", effects.log_);
+    trace(entry.address_, effects.log_);
     for (LinkId id : effects.linksToAbort_) {
         if (auto link = findLink(id))
-            closeLink(*link, false, true);
+            closeLink(link, false, true);
     }
     for (auto& item : effects.messages_)
         transmit(findLink(item.link_), true, std::move(item.message_));
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -23,6 +23,17 @@
     double linkReset_ { 0 };
     /// The link delays all messages for up to 3 s without closing.
     double linkCut_ { 0 };
+    /// The way up or down between an agent and all entries gets slower little by little, by up to `maxLatency_`, and fast again
+    /// within 6 s. Messages and the end of a link arrive in order.
+    double slowWay_ { 0 };
+    Duration maxLatency_ { std::chrono::milliseconds(600) };
+    /// For up to 4 s, nothing from the agent reaches the entries and no link opens; meanwhile the way down is slow as with
+    /// `slowWay_`.
+    double lostWayUp_ { 0 };
+    /// The process does not run for 100 to 390 ms, too short to count as suspended: it handles what waited as current.
+    double entryStall_ { 0 };
+    /// As `entryStall_`.
+    double agentStall_ { 0 };
     double targetRestart_ { 0 };
     /// Share of these restarts before which the target's clock has stepped back.
     double targetClockStepBack_ { 0 };
@@ -30,6 +41,9 @@
     double crashAtStart_ { 0 };
     /// Another target takes the place of the agent's, by half without the label that half of the jobs require then.
     double targetReplacement_ { 0 };
+    /// The agent's machine is replaced: another agent of that name joins within 1.5 s, with another target, while the former two
+    /// run on for up to 4 s, cut off from the entries.
+    double machineReplacement_ { 0 };
     /// Calls to the target and its heartbeats are lost for up to 2.5 s.
     double targetCut_ { 0 };
     /// The target drains until it restarts.
@@ -87,6 +101,7 @@
 
 private:
     struct Link;
+    struct Way;
     struct Entry;
     struct Agent;
     struct Caller;
@@ -121,8 +136,13 @@
     void injectLinkFaults();
     void killEntry(Entry& entry);
     void killAgent(Agent& agent);
+    void replaceMachine(Agent& agent);
     void hideEntry(Agent& agent);
     void cutLink(const std::shared_ptr<Link>& link);
+    void slowDown(Way& way, Duration span);
+    void injectWayFaults(Agent& agent);
+    void stallEntry(Entry& entry);
+    void stallAgent(Agent& agent);
     /// Passes an input to a process as its host does: once it is not suspended, and after reporting a suspension to the core.
     /// Drops the input if the process has stopped or is in another incarnation.
     void deliverToEntry(Entry& entry, std::uint64_t incarnation, const std::function<void()>& input);
@@ -146,13 +166,21 @@
     void restartTarget(Agent& agent);
     /// Has an agent choose its entries anew: connects it to those that are new and closes its links to those that it left.
     void selectEntries(Agent& agent);
+    /// Opens a link if the agent has none to the entry, as soon as the ways between them permit one.
     void connect(Entry& entry, Agent& agent);
-    /// Closes a link, notifies the given ends and connects the two again later, unless one of them has restarted or the agent
-    /// has chosen other entries.
-    void closeLink(Link& link, bool notifiesEntry, bool notifiesAgent);
+    void connectLater(Entry& entry, Agent& agent, Duration delay);
+    /// Closes a link: each end that is to be notified receives what was sent to it before, then the close; the other one has closed
+    /// it. Once the agent knows, it connects again unless it has restarted or chosen other entries.
+    void closeLink(const std::shared_ptr<Link>& link, bool notifiesEntry, bool notifiesAgent);
+    void endLinkAtEntry(const std::shared_ptr<Link>& link);
+    void endLinkAtAgent(const std::shared_ptr<Link>& link);
+    /// Returns when what is sent now on a link arrives, in order.
+    Time reserveArrival(Link& link, bool toAgent) const;
     void transmit(const std::shared_ptr<Link>& link, bool toAgent, Wire::RunMessage message);
     std::shared_ptr<Link> findLink(LinkId id) const;
     void startEntry(Entry& entry);
+    /// Adds a machine with an agent and a target.
+    Agent& addMachine(std::string agentName, std::string target, const Wire::Resources& capacity);
     void startAgent(Agent& agent);
     void sendHeartbeat(Agent& agent);
     void sendStrayHeartbeat(Agent& agent);
@@ -164,6 +192,8 @@
     void runEnded(std::size_t target, const RunName& name, Wire::RunEnd end);
     void reportViolation(std::string text);
     void trace(const std::string& source, const std::vector<LogLine>& lines) const;
+    /// Traces a message that is handled late.
+    void traceAge(const std::string& receiver, const std::string& sender, const Wire::RunMessage& message, Time sentAt) const;
 
     RunFaults faults_;
     /// The plan that is played; null for random jobs and faults.
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -9,13 +9,22 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+/// How long a process is stalled, counted from its last input: less than what counts as a suspension.
+constexpr Duration minStall = milliseconds(100);
+constexpr Duration maxStall = milliseconds(390);
+
+} // namespace
+
 void RunWorld::killEntry(Entry& entry)
 {
+    trace(entry.address_, { LogLine("killed") });
     entry.isUp_ = false;
     entry.pendingInputs_.clear();
     for (auto& [id, link] : std::map(links_)) {
         if (link->entry_ == &entry)
-            closeLink(*link, false, true);
+            closeLink(link, false, true);
     }
     for (auto& [caller, attempt] : std::map(callers_)) {
         if (entries_[attempt.entry_].get() == &entry)
@@ -30,12 +39,51 @@
     agent.pendingInputs_.clear();
     for (auto& [id, link] : std::map(links_)) {
         if (link->agent_ == &agent)
-            closeLink(*link, true, false);
+            closeLink(link, true, false);
     }
     resetDrain(agent);
     at(now_ + randomDuration(milliseconds(50), milliseconds(1500)), [this, &agent] { startAgent(agent); });
 }
 
+void RunWorld::stallEntry(Entry& entry)
+{
+    if (now_ < entry.suspendedUntil_)
+        return;
+    entry.suspendedUntil_ = entry.lastInputAt_ + randomDuration(minStall, maxStall);
+    trace(entry.address_, { LogLine("stalled").milliseconds("for_ms", entry.suspendedUntil_ - now_) });
+    at(entry.suspendedUntil_, [this, &entry, incarnation = entry.incarnationCount_] {
+        if (entry.isUp_ && entry.incarnationCount_ == incarnation)
+            tickEntry(entry);
+    });
+}
+
+void RunWorld::stallAgent(Agent& agent)
+{
+    if (now_ < agent.suspendedUntil_)
+        return;
+    agent.suspendedUntil_ = agent.lastInputAt_ + randomDuration(minStall, maxStall);
+    trace("agent-" + std::to_string(agent.index_), { LogLine("stalled").milliseconds("for_ms", agent.suspendedUntil_ - now_) });
+    at(agent.suspendedUntil_, [this, &agent, incarnation = agent.incarnationCount_] {
+        if (agent.isUp_ && agent.incarnationCount_ == incarnation)
+            tickAgent(agent);
+    });
+}
+
+void RunWorld::replaceMachine(Agent& agent)
+{
+    agent.isReplaced_ = true;
+    const Time end = now_ + randomDuration(milliseconds(100), milliseconds(4000));
+    agent.wayUp_.lostUntil_ = end;
+    agent.wayDown_.lostUntil_ = end;
+    at(end, [this, &agent] {
+        agent.isUp_ = false;
+        agent.target_->restart(now_);
+    });
+    at(now_ + randomDuration(milliseconds(100), milliseconds(1500)), [this, &agent] {
+        startAgent(addMachine(agent.name_, "target-" + std::to_string(agents_.size()), agent.target_->heartbeat().capacity_));
+    });
+}
+
 void RunWorld::injectEntryFaults()
 {
     for (auto& entry : entries_) {
@@ -43,6 +91,8 @@
             killEntry(*entry);
         else if (chance(faults_.entrySuspension_))
             entry->suspendedUntil_ = std::max(entry->suspendedUntil_, now_ + randomDuration(milliseconds(100), milliseconds(4000)));
+        if (faults_.entryStall_ > 0 && entry->isUp_ && chance(faults_.entryStall_))
+            stallEntry(*entry);
     }
 }
 
@@ -96,12 +146,21 @@
 void RunWorld::injectAgentFaults()
 {
     for (auto& agent : agents_) {
+        if (agent->isReplaced_)
+            continue;
+        if (faults_.machineReplacement_ > 0 && agent->isUp_ && chance(faults_.machineReplacement_)) {
+            replaceMachine(*agent);
+            continue;
+        }
         if (chance(faults_.clockStepBack_))
             agent->clockOffsetMs_ = -randomDuration(Duration(), std::chrono::seconds(5)).count() / 1000;
         if (agent->isUp_ && chance(faults_.agentKill_))
             killAgent(*agent);
         else if (chance(faults_.agentSuspension_))
             agent->suspendedUntil_ = std::max(agent->suspendedUntil_, now_ + randomDuration(milliseconds(100), milliseconds(3000)));
+        if (faults_.agentStall_ > 0 && agent->isUp_ && chance(faults_.agentStall_))
+            stallAgent(*agent);
+        injectWayFaults(*agent);
         if (faults_.entryHidden_ > 0 && chance(faults_.entryHidden_))
             hideEntry(*agent);
         injectTargetFaults(*agent);
@@ -111,6 +170,28 @@
     }
 }
 
+void RunWorld::slowDown(Way& way, Duration span)
+{
+    if (now_ < way.slowUntil_)
+        return;
+    way.slowFrom_ = now_;
+    way.slowUntil_ = now_ + span;
+    way.peak_ = randomDuration(faults_.maxLatency_ / 2, faults_.maxLatency_);
+}
+
+void RunWorld::injectWayFaults(Agent& agent)
+{
+    constexpr Duration maxSlowTime = milliseconds(6000);
+    constexpr Duration minTime = milliseconds(300);
+    if (faults_.slowWay_ > 0 && chance(faults_.slowWay_))
+        slowDown(chance(0.5) ? agent.wayUp_ : agent.wayDown_, randomDuration(minTime, maxSlowTime));
+    if (faults_.lostWayUp_ > 0 && chance(faults_.lostWayUp_)) {
+        Duration span = randomDuration(minTime, milliseconds(4000));
+        agent.wayUp_.lostUntil_ = now_ + span;
+        slowDown(agent.wayDown_, span);
+    }
+}
+
 void RunWorld::cutLink(const std::shared_ptr<Link>& link)
 {
     link->isCut_ = true;
@@ -124,8 +205,10 @@
 void RunWorld::injectLinkFaults()
 {
     for (auto& [id, link] : std::map(links_)) {
+        if (!link->isOpen_)
+            continue;
         if (chance(faults_.linkReset_))
-            closeLink(*link, true, true);
+            closeLink(link, true, true);
         else if (!link->isCut_ && chance(faults_.linkCut_))
             cutLink(link);
     }
--- a/UnitTests/Runs/RunWorldParts.h
+++ b/UnitTests/Runs/RunWorldParts.h
@@ -16,6 +16,18 @@
 /// The label that half of the jobs require when targets are replaced.
 inline constexpr auto requiredLabel = "kind";
 
+/// One direction of the links between an agent and all entries.
+struct RunWorld::Way {
+    /// While it is slow, its latency grows by up to `peak_` and falls again.
+    Time slowFrom_;
+    Time slowUntil_;
+    Duration peak_ {};
+    /// Nothing arrives before this time.
+    Time lostUntil_;
+
+    Duration latency(Time now) const;
+};
+
 /// A link between one incarnation of an entry and one of an agent.
 struct RunWorld::Link {
     LinkId id_;
@@ -23,7 +35,14 @@
     Agent* agent_;
     std::uint64_t entryIncarnation_;
     std::uint64_t agentIncarnation_;
+    /// False once it is closed: no more is sent.
     bool isOpen_ { true };
+    /// False once the entry has closed it or been notified.
+    bool isOpenAtEntry_ { true };
+    bool isOpenAtAgent_ { true };
+    /// When what was last sent to the entry arrives.
+    Time arrivesAtEntry_ {};
+    Time arrivesAtAgent_ {};
     /// Messages are held back, and neither end is notified when the link closes.
     bool isCut_ { false };
     /// Messages held back while the link is cut; true for those to the agent.
@@ -47,6 +66,9 @@
 /// An agent process and its target.
 struct RunWorld::Agent {
     std::size_t index_;
+    std::string name_;
+    /// True once another machine takes its place.
+    bool isReplaced_ { false };
     std::unique_ptr<RunAgentCore> core_;
     std::unique_ptr<StandIns::LeasedTarget> target_;
     /// Number of starts of the process; identifies its incarnation.
@@ -70,6 +92,10 @@
     /// Address of an entry that the agent does not know, and until when.
     std::string hiddenEntry_;
     Time hiddenUntil_;
+    /// From the agent to the entries.
+    Way wayUp_ {};
+    /// From the entries to the agent.
+    Way wayDown_ {};
     /// Pending calls to the target: when they time out, and what is run if their connections are reset before.
     std::vector<std::pair<Time, std::function<void()>>> pendingCalls_;
 };
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -43,7 +43,7 @@
     trace("agent-" + std::to_string(agent.index_), effects.log_);
     for (LinkId id : effects.linksToAbort_) {
         if (auto link = findLink(id))
-            closeLink(*link, true, false);
+            closeLink(link, true, false);
     }
     for (auto& item : effects.messages_)
         transmit(findLink(item.link_), false, std::move(item.message_));
