A lost agent's runs end at once only for its successor beside the same target

What callers saw: a task ran twice at once. An entry that had lost an agent ended all runs of that agent as lost, and placed them anew, as soon as any agent of the same name reported its target as open.

Cause: "a later incarnation reports itself open only when no run of an earlier one is left" holds only beside one target. When an instance is replaced under its name, the former one may be cut off and go on. And the earlier one was taken to be the one without a link, though it may be the later one: incarnations are random, and what a killed agent had sent may come late.

Now an agent's hello names its control and target address. The claim counts for rows with the same name and addresses whose link was opened before the agent's. An agent listens at its control address before it opens a link, so only one lives at a time; it greets after the entry has answered its handshake, so it lived after an agent whose link was opened before. All other rows run into their timeout.

--- a/Lagoonpick/Job/AgentTable.h
+++ b/Lagoonpick/Job/AgentTable.h
@@ -12,8 +12,13 @@
 struct AgentRow {
     std::string name_;
     std::string availabilityZone_;
+    /// As in the agent's hello.
+    std::string controlAddress_;
+    std::string targetAddress_;
     /// Empty while the link is down.
     std::optional<LinkId> link_;
+    /// The link that the agent's latest hello came over.
+    LinkId latestLink_ {};
     /// When the last message from the agent arrived.
     Time lastReceived_;
     /// The latest time by the agent's clock that a message of it carried, in milliseconds, and when that message was handled.
@@ -37,6 +42,10 @@
 
     bool isUsable() const { return link_ && report_.isOpen_; }
 
+    /// True if `other` is an earlier incarnation of this agent, beside the same target. Then its process has ended: this one listens
+    /// at its address, and greeted over a link that was opened after the other's. Incarnations don't tell the order of starts.
+    bool isSuccessorOf(const AgentRow& other) const;
+
     /// Reported load plus the runs that the report does not include yet.
     TargetLoadView load() const;
 };
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -85,7 +85,10 @@
     links_[link] = hello.incarnation_;
     agent.name_ = hello.name_;
     agent.availabilityZone_ = hello.availabilityZone_;
+    agent.controlAddress_ = hello.controlAddress_;
+    agent.targetAddress_ = hello.targetAddress_;
     agent.link_ = link;
+    agent.latestLink_ = link;
     agent.lastReceived_ = now;
     agent.heartbeatSentAt_ = Time();
     recordAgentTime(agent, hello.agentTime_, now);
@@ -179,13 +182,14 @@
     recordAgentTime(agent, report.agentTime_, now);
     if (!report.isOpen_)
         return;
-    // A later incarnation of an agent reports itself open only when no run of an earlier incarnation is left.
+    // A later incarnation of an agent reports itself open only when no run of an earlier incarnation is left on its target. An agent
+    // of the same name on another instance may be out of reach and go on.
     // Without a link there is only an agent whose link was lost, such as an earlier incarnation.
     if (agents_.size() == links_.size())
         return;
     std::vector<Incarnation> earlier;
     for (const auto& [incarnation, other] : agents_) {
-        if (other.name_ == agent.name_ && !other.link_ && &other != &agent)
+        if (!other.link_ && agent.isSuccessorOf(other))
             earlier.push_back(incarnation);
     }
     for (Incarnation incarnation : earlier)
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -41,7 +41,7 @@
 void RunAgentCore::linkOpened(LinkId link, Time now)
 {
     openLinks_.insert(link);
-    send(link, Wire::AgentHello { .incarnation_ = settings_.incarnation_, .name_ = settings_.name_, .availabilityZone_ = settings_.availabilityZone_, .agentTime_ = toAgentTime(now) });
+    send(link, Wire::AgentHello { .incarnation_ = settings_.incarnation_, .name_ = settings_.name_, .availabilityZone_ = settings_.availabilityZone_, .controlAddress_ = settings_.controlAddress_, .targetAddress_ = settings_.targetAddress_, .agentTime_ = toAgentTime(now) });
 }
 
 void RunAgentCore::linkClosed(LinkId link, Time now)
--- a/Lagoonpick/Run/RunAgentCoreSettings.h
+++ b/Lagoonpick/Run/RunAgentCoreSettings.h
@@ -12,6 +12,10 @@
     std::string name_;
     std::string availabilityZone_;
     Incarnation incarnation_;
+    /// The address that the target beside the agent sends its heartbeats to. Together with `targetAddress_` it tells entries an
+    /// earlier incarnation of this agent from one on another instance, so both must be this instance's own.
+    std::string controlAddress_;
+    std::string targetAddress_;
     /// The first fencing token; exceeds those of earlier incarnations unless the clock was set back.
     std::uint64_t fencingToken_ { 1 };
 
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -67,6 +67,10 @@
     Incarnation incarnation_;
     std::string name_;
     std::string availabilityZone_;
+    /// Where the agent listens for its target: only one process at a time can.
+    std::string controlAddress_;
+    /// Where the agent calls its target.
+    std::string targetAddress_;
     /// When the agent sent this, in milliseconds of its own clock.
     std::uint64_t agentTime_ { 0 };
     bool operator==(const AgentHello&) const = default;
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -29,7 +29,7 @@
 
 void describe(auto& archive, MaybeConst<AgentHello> auto& value)
 {
-    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_, value.agentTime_);
+    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_, value.controlAddress_, value.targetAddress_, value.agentTime_);
 }
 
 void describe(auto& archive, MaybeConst<RunHeartbeat> auto& value)
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -45,7 +45,7 @@
           seed)
     , control_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleControl(request, respond); })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
-    , target_(context, settings_.targetAddress_, maxTargetBodyBytes, maxTargetIdleTime)
+    , target_(context, settings_.run_.targetAddress_, maxTargetBodyBytes, maxTargetIdleTime)
     , store_(context, settings_.storeAddress_)
     , entryDirectory_(
           context, store_, clock_,
@@ -60,7 +60,7 @@
 {
     beginInput();
     log(LogLine("started").text("availability_zone", settings_.run_.availabilityZone_).text("incarnation", settings_.run_.incarnation_.toString()).number("fencing_token", settings_.run_.fencingToken_));
-    auto fault = control_.listen(settings_.controlAddress_);
+    auto fault = control_.listen(settings_.run_.controlAddress_);
     if (fault.empty())
         fault = metrics_.listen(settings_.metricsAddress_);
     if (!fault.empty()) {
--- a/RunAgent/RunAgentSettings.cpp
+++ b/RunAgent/RunAgentSettings.cpp
@@ -9,12 +9,12 @@
     RunAgentSettings settings;
     settings.run_.name_ = reader.text("agent", "name");
     settings.run_.availabilityZone_ = reader.text("agent", "availability_zone");
-    settings.controlAddress_ = reader.address("agent", "control_address");
+    settings.run_.controlAddress_ = reader.address("agent", "control_address");
     settings.metricsAddress_ = reader.address("agent", "metrics_address");
     settings.entryLinkAddress_ = reader.address("agent", "entry_link_address");
     settings.run_.maxEntries_ = static_cast<std::uint32_t>(reader.number("agent", "max_entries", settings.run_.maxEntries_, 1, 1000));
     settings.seeds_ = splitList(reader.text("agent", "seeds", "-"));
-    settings.targetAddress_ = reader.address("target", "address");
+    settings.run_.targetAddress_ = reader.address("target", "address");
     settings.storeAddress_ = reader.address("store", "address");
     settings.run_.times_ = readLeaseTiming(reader);
     settings.run_.renewalWait_ = settings.run_.times_.lease_ / 10;
--- a/RunAgent/RunAgentSettings.h
+++ b/RunAgent/RunAgentSettings.h
@@ -8,10 +8,7 @@
 /// The settings of an agent that runs tasks under leases, as read from its settings file.
 struct RunAgentSettings {
     RunAgentCoreSettings run_;
-    /// The address that the target beside the agent sends its heartbeats to.
-    std::string controlAddress_;
     std::string metricsAddress_;
-    std::string targetAddress_;
     std::string storeAddress_;
     /// An address whose port is the one that all entries accept links on; the host is ignored.
     std::string entryLinkAddress_;
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -43,11 +43,18 @@
 
     void attach(std::uint64_t on, std::uint64_t incarnation)
     {
-        core_.linkOpened(LinkId(on), now_);
-        core_.receive(LinkId(on), Wire::AgentHello { .incarnation_ = Incarnation(incarnation), .name_ = "agent-" + std::to_string(incarnation), .agentTime_ = agentTime() }, now_);
+        greet(on, { .incarnation_ = Incarnation(incarnation), .name_ = "agent-" + std::to_string(incarnation) });
         core_.receive(LinkId(on), openReport(), now_);
     }
 
+    /// Opens a link over which an agent greets; its target counts as closed until it reports.
+    void greet(std::uint64_t on, Wire::AgentHello hello)
+    {
+        hello.agentTime_ = agentTime();
+        core_.linkOpened(LinkId(on), now_);
+        core_.receive(LinkId(on), hello, now_);
+    }
+
     void submit(const JobRequest& request, std::uint64_t caller = 1)
     {
         core_.submit(CallerId(caller), request, now_);
@@ -439,6 +446,58 @@
     CHECK(entry.starts_.size() == 2);
 }
 
+// Guards against: the open report of any agent of the same name ended a lost agent's runs at once, though that agent went on.
+TEST_CASE("A lost agent's runs end at once only when its successor beside the same target is open")
+{
+    struct Row {
+        std::string case_;
+        Wire::AgentHello hello_;
+        bool isSuccessor_;
+    };
+    const Wire::AgentHello lost { .incarnation_ = Incarnation(50), .name_ = "agent", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2" };
+    // Incarnations are random.
+    auto row = GENERATE(values<Row>({
+        { "successor", { .incarnation_ = Incarnation(51), .name_ = "agent", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2" }, true },
+        { "successor with a lower incarnation", { .incarnation_ = Incarnation(49), .name_ = "agent", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2" }, true },
+        { "another instance under the same name", { .incarnation_ = Incarnation(51), .name_ = "agent", .controlAddress_ = "10.1.0.9:1", .targetAddress_ = "10.1.0.9:2" }, false },
+        { "another target", { .incarnation_ = Incarnation(51), .name_ = "agent", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:3" }, false },
+        { "another name", { .incarnation_ = Incarnation(51), .name_ = "other", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2" }, false },
+    }));
+    INFO(row.case_);
+    JobEntryFixture entry(0);
+    entry.greet(1, lost);
+    entry.core_.receive(LinkId(1), openReport(), entry.now_);
+    JobRequest request = makeRequest("job");
+    request.callerTimeout_ = std::chrono::seconds(5);
+    entry.submit(request);
+    REQUIRE(entry.starts_.size() == 1);
+    entry.core_.linkClosed(LinkId(1), entry.now_);
+    entry.greet(2, row.hello_);
+    entry.core_.receive(LinkId(2), openReport(), entry.now_);
+    entry.advance(milliseconds(100));
+    CHECK(entry.starts_.size() == (row.isSuccessor_ ? 2 : 1));
+    entry.advance(LeaseTiming().orphanTimeout_);
+    CHECK(entry.starts_.size() == 2);
+}
+
+// Guards against: what a killed agent had sent came late and ended the runs of its successor, whose link was down.
+TEST_CASE("A late report of an agent's earlier incarnation doesn't end the later one's runs")
+{
+    const Wire::AgentHello earlier { .incarnation_ = Incarnation(50), .name_ = "agent", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2" };
+    Wire::AgentHello later = earlier;
+    later.incarnation_ = Incarnation(51);
+    JobEntryFixture entry(0);
+    entry.greet(1, earlier);
+    entry.greet(2, later);
+    entry.core_.receive(LinkId(2), openReport(), entry.now_);
+    entry.submit(makeRequest("job"));
+    REQUIRE(entry.starts_.size() == 1);
+    entry.core_.linkClosed(LinkId(2), entry.now_);
+    entry.core_.receive(LinkId(1), openReport(), entry.now_);
+    entry.advance(milliseconds(100));
+    CHECK(entry.starts_.size() == 1);
+}
+
 TEST_CASE("A reconnected agent is asked to stop the runs whose job was answered meanwhile")
 {
     JobEntryFixture entry(1);
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -40,6 +40,7 @@
         { .name_ = "overload", .load_ = 1.6 },
         { .name_ = "agents are killed", .agentKill_ = 0.02 },
         { .name_ = "agents are killed, clocks step back", .agentKill_ = 0.02, .clockStepBack_ = 0.2 },
+        { .name_ = "agents share names, are killed and cut off", .agentKill_ = 0.01, .hasNamesakes_ = true, .linkReset_ = 0.02, .linkCut_ = 0.02 },
         { .name_ = "entries are killed", .entryKill_ = 0.02 },
         { .name_ = "entries freeze", .entrySuspension_ = 0.02 },
         { .name_ = "agents freeze", .agentSuspension_ = 0.02 },
@@ -66,7 +67,7 @@
     checkHistories(faults, 12);
 }
 
-TEST_CASE("Messages that are handled late, and processes that get little processor time, make no two runs of a task overlap", "[.][RunHistoryOfLateMessages]")
+TEST_CASE("Messages that are handled late, and processes that get little processor time, make no two runs of a task overlap", "[RunHistoryOfLateMessages]")
 {
     auto faults = GENERATE(values<RunFaults>({
         { .name_ = "ways get slow by 300 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(300) },
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -55,8 +55,7 @@
         startEntry(*entries_.back());
     }
     for (std::size_t i = 0; i < (plan_ ? plan_->targets_.size() : agentCount); ++i) {
-        std::string number = std::to_string(i);
-        Agent& agent = addMachine("agent-" + number, "target-" + number, plan_ ? plan_->targets_[i].capacity_ : capacity);
+        Agent& agent = addMachine("agent-" + std::to_string(faults_.hasNamesakes_ ? i / 2 : i), "target-" + std::to_string(i), plan_ ? plan_->targets_[i].capacity_ : capacity);
         if (plan_)
             agent.target_->setSpeed(plan_->targets_[i].speed_, now_);
         startAgent(agent);
@@ -147,6 +146,9 @@
 {
     RunAgentCoreSettings settings;
     settings.name_ = agent.name_;
+    std::string host = "10.1.0." + std::to_string(agent.index_ + 1);
+    settings.controlAddress_ = host + ":1";
+    settings.targetAddress_ = host + ":2";
     settings.incarnation_ = Incarnation(++lastIncarnation_);
     settings.maxEntries_ = plan_ ? plan_->load_.maxEntries_ : faults_.maxEntries_;
     settings.fencingToken_ = static_cast<std::uint64_t>(toUnixMilliseconds(now_) + agent.clockOffsetMs_);
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -15,6 +15,8 @@
 struct RunFaults {
     std::string name_;
     double agentKill_ { 0 };
+    /// Each agent has the name of another one, beside another target: an instance was replaced under its name and goes on.
+    bool hasNamesakes_ { false };
     double entryKill_ { 0 };
     /// The process is suspended for up to 4 s and handles its pending input afterwards.
     double entrySuspension_ { 0 };
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -100,7 +100,7 @@
 {
     std::vector<Wire::RunMessage> messages {
         Wire::EntryHello { .incarnation_ = Incarnation(5), .name_ = "e", .availabilityZone_ = "z", .address_ = "10.0.0.1:1" },
-        Wire::AgentHello { .incarnation_ = Incarnation(6), .name_ = "a", .availabilityZone_ = "z", .agentTime_ = 1 },
+        Wire::AgentHello { .incarnation_ = Incarnation(6), .name_ = "a", .availabilityZone_ = "z", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2", .agentTime_ = 1 },
         Wire::RunHeartbeat { 3, 4, 5 },
         Wire::ConfigurationRequest { 8 },
         Wire::ConfigurationCopy { 9, "text" },
