A target is opened only by a list of everything that runs there

What callers would see: a task that runs twice at once. An agent that starts takes the first answer to a lease call for the whole list, stops what it finds and then opens; entries take the runs of its earlier incarnation for over by that. A row that can't be read, or an answer without the list, was taken for "nothing runs": the agent opened, and extended the lease, for a run that went on. An orphan that one such answer lacked counted as gone.

Evidence: with the former rule RunsTest "A target is opened only by a list of everything that runs there" fails 8 checks: the lease is extended, the start is sent, the orphan is never stopped.

--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -145,7 +145,7 @@
     void handleUnansweredLease(Time now);
     void handleEnds(const LeaseReply& reply, Time now);
     void handleRunning(const LeaseReply& reply, Time sentAt, Time now);
-    void handleOrphans(const std::set<RunName>& listed, Time sentAt, Time now);
+    void handleOrphans(const std::set<RunName>& listed, const LeaseReply& reply, Time sentAt, Time now);
     void stopOrphan(const RunName& name, Time now);
     void expireLease(Time now);
 
@@ -194,7 +194,7 @@
     Time leaseEndsAt_;
     /// Earliest time of the next regular renewal.
     Time renewAt_;
-    /// True once the current incarnation of the target has answered a lease call.
+    /// True once the current incarnation of the target has answered a lease call with everything that runs there.
     bool hasLeaseAnswer_ { false };
     /// True from the expiry of an unanswered lease until the target answers again.
     bool isLeaseLost_ { false };
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -99,11 +99,11 @@
     }
     handleEnds(reply, now);
     handleRunning(reply, sent.sentAt_, now);
-    if (!hasLeaseAnswer_) {
+    if (!hasLeaseAnswer_ && !reply.hasUnreadRuns_) {
         hasLeaseAnswer_ = true;
         markReportsDue();
     }
-    if (!orphans_.empty())
+    if (!orphans_.empty() || !hasLeaseAnswer_)
         renewAt_ = now + renewalPause;
     keepRenewalsInFlight(now);
 }
@@ -219,7 +219,7 @@
             run.answeredAt_ = std::max(run.answeredAt_, now);
         }
     }
-    handleOrphans(listedOrphans, sentAt, now);
+    handleOrphans(listedOrphans, reply, sentAt, now);
     std::vector<RunId> missing;
     for (auto& [id, run] : runs_.rows()) {
         if (run.phase_ == RunPhase::Starting && run.unansweredAt_ && *run.unansweredAt_ <= sentAt && !listed.contains(id))
@@ -240,7 +240,7 @@
 /// Answers on two connections may overtake each other, so that a run whose end is known is listed once more. After the
 /// first list, an unknown run therefore counts as an orphan only once the answer to a renewal that was sent after it was
 /// first listed contains it again.
-void RunAgentCore::handleOrphans(const std::set<RunName>& listed, Time sentAt, Time now)
+void RunAgentCore::handleOrphans(const std::set<RunName>& listed, const LeaseReply& reply, Time sentAt, Time now)
 {
     for (const auto& name : listed) {
         auto [seen, isNew] = unknownSince_.emplace(name, now);
@@ -248,6 +248,9 @@
         if (isCertain && !orphans_.contains(name))
             stopOrphan(name, now);
     }
+    // A run that is missing may be in a row that could not be read.
+    if (reply.hasUnreadRuns_)
+        return;
     std::erase_if(unknownSince_, [&](const auto& seen) { return !listed.contains(seen.first); });
     std::erase_if(orphans_, [&](const auto& orphan) { return !listed.contains(orphan.first); });
 }
--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -130,6 +130,8 @@
     /// True if a list may lack a run: a row could not be read, or there may be more ends than an answer holds. A run that is in
     /// neither list may still be running or have ended then.
     bool isPartial_ { false };
+    /// True if a row of the running ones, or that whole list, could not be read: something may run that is not in `running_`.
+    bool hasUnreadRuns_ { false };
 };
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -181,6 +181,33 @@
     CHECK(agent.ends()[0].end_ == RunEnd::Done);
 }
 
+// Guards against: an agent opened its target, and extended the lease, though a run of its earlier incarnation went on there unread.
+TEST_CASE("A target is opened only by a list of everything that runs there")
+{
+    RunAgentFixture agent;
+    agent.sendHeartbeat(false, 2);
+    auto answer = [&](LeaseReply reply) {
+        reply.startedAt_ = 2;
+        agent.answerLease(std::move(reply));
+        agent.advance(milliseconds(20));
+    };
+    const LeaseReply unread { .running_ = {}, .ended_ = {}, .isPartial_ = true, .hasUnreadRuns_ = true };
+    const LeaseReply orphan { .running_ = { { { "job.9.0.1", 1 }, 10 } }, .ended_ = {} };
+    const LeaseReply nothing { .running_ = {}, .ended_ = {} };
+    std::uint64_t run = 0;
+    for (const auto& reply : { unread, orphan, unread }) {
+        answer(reply);
+        CHECK_FALSE(agent.leases_.back().leaseUntil_);
+        agent.startRun(++run);
+        CHECK(agent.starts_.empty());
+    }
+    CHECK(agent.stops_.size() == 1);
+    answer(nothing);
+    CHECK(agent.leases_.back().leaseUntil_);
+    agent.startRun(++run);
+    CHECK(agent.starts_.size() == 1);
+}
+
 TEST_CASE("A restored heartbeat opens the target, unless the target is draining or a newer heartbeat has arrived")
 {
     struct Row {
--- a/UnitTests/UsersPlatform/CodecTest.cpp
+++ b/UnitTests/UsersPlatform/CodecTest.cpp
@@ -255,16 +255,18 @@
 // Guards against: a run whose row could not be read counted as lost, though it ran on.
 TEST_CASE("Lists with a row that can't be decoded, or without one of the lists, are partial")
 {
-    auto [text, isPartial] = GENERATE(table<std::string, bool>({
-        { R"({"running":[],"finished":[]})", false },
-        { R"({"running":[["a.0.0.1",2,"",41]],"finished":[[1,"a.0.0.1",1,"done",""]]})", false },
-        { R"({"running":[["a.0.0.1","2","",41]],"finished":[]})", true },
-        { R"({"running":[],"finished":[[1]]})", true },
-        { R"({"running":[]})", true },
-        { R"({"finished":[]})", true },
-        { R"({"running":{},"finished":[]})", true },
+    auto [text, isPartial, hasUnreadRuns] = GENERATE(table<std::string, bool, bool>({
+        { R"({"running":[],"finished":[]})", false, false },
+        { R"({"running":[["a.0.0.1",2,"",41]],"finished":[[1,"a.0.0.1",1,"done",""]]})", false, false },
+        { R"({"running":[["a.0.0.1","2","",41]],"finished":[]})", true, true },
+        { R"({"running":[],"finished":[[1]]})", true, false },
+        { R"({"running":[]})", true, false },
+        { R"({"finished":[]})", true, true },
+        { R"({"running":{},"finished":[]})", true, true },
     }));
-    CHECK(decodeLeaseReply(1, { ExchangeStage::Answered, 200, text }).isPartial_ == isPartial);
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, text });
+    CHECK(reply.isPartial_ == isPartial);
+    CHECK(reply.hasUnreadRuns_ == hasUnreadRuns);
 }
 
 TEST_CASE("A list of ends that is as long as an answer can be may not be the whole one")
@@ -276,6 +278,7 @@
     auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}" });
     CHECK(reply.ended_.size() == static_cast<std::size_t>(count));
     CHECK(reply.isPartial_ == mayHaveMore);
+    CHECK_FALSE(reply.hasUnreadRuns_);
 }
 
 // Guards against: a number too large was cut to 32 bits and then named another start of the task, or a time wrapped.
