An entry whose key in the store was taken by a namesake registers again

What callers would see: rejections by an entry without targets. Entries register under their name. When an instance was replaced under its name and the former one still reaches the store, it registers anew once its lease has ended and takes the key; the present one only checked that its key exists, so agents that start later never learn its address (those that know it keep it for a minute).

Evidence: RegistrationTest "An entry whose key holds another entry's address registers again" failed before (not listed within 5 s) and passed three times of three after. The value is compared now. Two live namesakes take turns, and agents know both, since an address is kept for 60 s. An answer of the store that is seconds old costs one more registration.

--- a/ContractTests/RegistrationTest.cpp
+++ b/ContractTests/RegistrationTest.cpp
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Transport/HttpClient.h"
 #include "StandIns/UsersStoreStandIn.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
@@ -36,6 +37,22 @@
         return isReached;
     }
 
+    /// Runs the context until the store lists the address of an entry; false if that takes longer than 5 s.
+    bool waitForAddress(const std::string& address)
+    {
+        bool isListed = false;
+        for (int step = 0; step < 50 && !isListed; ++step) {
+            auto list = [&]() -> boost::asio::awaitable<void> {
+                auto items = co_await store_.list(std::string(entriesPrefix));
+                auto isSought = [&](const auto& item) { return item.value_ == address; };
+                isListed = items && std::any_of(items.value().begin(), items.value().end(), isSought);
+            };
+            boost::asio::co_spawn(context_, list, boost::asio::detached);
+            context_.run_for(std::chrono::milliseconds(100));
+        }
+        return isListed;
+    }
+
     void removeFromStore(const std::string& name)
     {
         HttpClient http(context_, address_, 4096);
@@ -63,4 +80,18 @@
     CHECK(fixture.waitForEntries(2));
 }
 
+// Guards against: an instance that was replaced under its name took the key, and agents never learnt the address of its successor.
+TEST_CASE("An entry whose key holds another entry's address registers again")
+{
+    RegistrationFixture fixture;
+    auto ignore = [](bool) {};
+    EntryRegistration present(fixture.context_, fixture.store_, "entry", "10.0.0.2:1", ignore);
+    present.start();
+    REQUIRE(fixture.waitForAddress("10.0.0.2:1"));
+    EntryRegistration former(fixture.context_, fixture.store_, "entry", "10.0.0.1:1", ignore);
+    former.start();
+    REQUIRE(fixture.waitForAddress("10.0.0.1:1"));
+    CHECK(fixture.waitForAddress("10.0.0.2:1"));
+}
+
 } // namespace Lagoonpick
--- a/JobEntry/EntryRegistration.cpp
+++ b/JobEntry/EntryRegistration.cpp
@@ -68,7 +68,8 @@
     co_return true;
 }
 
-/// Also checks that the key exists, because a renewal can succeed although the key was removed.
+/// Also checks that the key exists and holds this entry's address, because a renewal can succeed although the key was removed, or
+/// taken by an entry of the same name on another instance.
 boost::asio::awaitable<bool> EntryRegistration::renew()
 {
     auto renewed = co_await store_.renewLease(leaseId_);
@@ -79,7 +80,7 @@
     }
     auto listed = co_await store_.list(key_);
     // The list also holds the entries whose names begin with this one's.
-    auto isOwn = [this](const auto& item) { return item.key_ == key_; };
+    auto isOwn = [this](const auto& item) { return item.key_ == key_ && item.value_ == address_; };
     if (listed && std::none_of(listed.value().begin(), listed.value().end(), isOwn))
         leaseId_.clear();
     co_return !leaseId_.empty();
