A restarted target's lease lasts as long as calls with its former clock may have made it

Callers saw tasks run twice at once: an agent took all runs of a silent target for lost and their tasks were started elsewhere while they ran.

Cause: a target that restarts under its id begins its clock anew. Calls with a time of the former clock are shortened to the longest lease that it grants (1,000 ms), while the agent reckoned with the 700 ms that it asks for. The answer that showed the restart belongs to a call with the former fencing token, so nothing kept later calls of that kind out, but the agent opened its target at once.

Now that answer shows the restart and nothing else. Only the answer to a call with the raised token opens the target: what carries a lower token does nothing from then on, so the lease ends no later than the longest lease after that answer. `leaseEndsAt_` says so, and contains the drift of the target's clock, also since the clock was read. Until that answer the target's runs are neither lost early nor kept for ever if it falls silent: calls on their way count with the longest lease after the time by which they are given up.

RunAgentCoreClaimTest: its target restarts, so that it answers once more before it is open; a silent target's runs are lost at 0.7 s only if its lease doesn't last longer from its beginning, so it answers for 0.4 s before. The bounds are as they were.

--- a/Lagoonpick/Run/LeaseTiming.cpp
+++ b/Lagoonpick/Run/LeaseTiming.cpp
@@ -12,6 +12,7 @@
     // Covers the difference between the clocks of two instances over that time.
     const Duration margin = std::chrono::milliseconds(36);
     LeaseTiming times;
+    times.maxLease_ = maxLease;
     times.stopTimeout_ = stopTimeout;
     // The rest is left for the time until the last renewal of a lease is recognized as the last.
     Duration available = resendInterval - stopTimeout - margin;
--- a/Lagoonpick/Run/LeaseTiming.h
+++ b/Lagoonpick/Run/LeaseTiming.h
@@ -7,6 +7,8 @@
 /// The lease duration and timeouts that entries and agents must agree on so that no two runs of one task overlap. Both
 /// derive them from the same three limits.
 struct LeaseTiming {
+    /// The longest lease that a target grants: whatever a call asks for that carries a time of its former incarnation's clock.
+    Duration maxLease_ { std::chrono::milliseconds(1000) };
     /// How long a run continues without a renewal. Spans several renewals, so that a single lost one does no harm.
     Duration lease_ { std::chrono::milliseconds(700) };
     /// Maximum time that a target takes to stop a run; a stop without an answer is repeated after it.
--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -102,7 +102,7 @@
     run.progress_.begin(run.work_, now);
     run.unansweredAt_.reset();
     std::int64_t leaseUntil = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
-    leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
+    recordLease(now);
     effects_.starts_.push_back({ .call_ = id, .name_ = run.name_, .payload_ = run.payload_, .leaseUntil_ = leaseUntil, .fencingToken_ = fencingToken_, .expectedTarget_ = target_.incarnation().id_ });
     markReportsDue();
 }
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -135,8 +135,12 @@
     /// True if the entries of all runs that may be on the target permit a lease from now on.
     bool mayExtendLease(Time now) const;
     void renewLease(Duration wait, Time now);
+    /// Records that a call which is sent now asks for a lease.
+    void recordLease(Time now);
     /// Asks at the target's address which target is there, unless that is being asked already.
     void checkClaim(const TargetHeartbeat& claim, Time now);
+    /// True if there are runs that were sent to the target.
+    bool mayHaveRuns() const;
     /// Accepts a claim if the known target neither answers nor can still have runs.
     void acceptClaimOfSilentTarget(Time now);
     void beginTarget(Time now);
@@ -190,11 +194,12 @@
     std::map<std::uint64_t, PendingLease> pendingLeases_;
     /// When the target last answered a lease call, or when its present incarnation became known.
     Time leaseAnsweredAt_;
-    /// When the latest lease that the target may hold ends, by this agent's clock.
+    /// When the latest lease that the target may hold ends by this agent's clock, if the target's is as slow as it may be.
     Time leaseEndsAt_;
     /// Earliest time of the next regular renewal.
     Time renewAt_;
-    /// True once the current incarnation of the target has answered a lease call with everything that runs there.
+    /// True once the current incarnation of the target has answered a lease call that was sent to it as such, with everything that
+    /// runs there.
     bool hasLeaseAnswer_ { false };
     /// True from the expiry of an unanswered lease until the target answers again.
     bool isLeaseLost_ { false };
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -19,6 +19,12 @@
 /// Maximum share by which a target's clock may be slower than this agent's; a lease then lasts longer by that share.
 constexpr double maxClockDrift = 0.02;
 
+/// The longest time on this agent's clock for a time on a target's.
+Duration withDrift(Duration onTarget)
+{
+    return onTarget + scale(onTarget, maxClockDrift);
+}
+
 } // namespace
 
 /// Keeps one renewal in flight, and a second while there are runs: if the answer to one is lost, the other still lists the
@@ -45,7 +51,7 @@
     auto clock = target_.clockAt(now);
     if (hasLeaseAnswer_ && isAnswering && !unansweredAt_ && orphans_.empty() && mayExtendLease(now) && clock) {
         call.leaseUntil_ = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
-        leaseEndsAt_ = std::max(leaseEndsAt_, now + settings_.times_.lease_);
+        recordLease(now);
     }
     pendingLeases_[call.call_] = { now, fencingToken_ };
     effects_.leases_.push_back(std::move(call));
@@ -60,6 +66,13 @@
     });
 }
 
+void RunAgentCore::recordLease(Time now)
+{
+    // The target's clock was read with its last answer.
+    Duration sinceAnswer = now - leaseAnsweredAt_;
+    leaseEndsAt_ = std::max(leaseEndsAt_, leaseAnsweredAt_ + withDrift(sinceAnswer + settings_.times_.lease_));
+}
+
 void RunAgentCore::receive(const LeaseReply& reply, Time now)
 {
     auto pending = pendingLeases_.find(reply.call_);
@@ -83,16 +96,22 @@
         handleUnansweredLease(now);
         return;
     }
-    if (target_.confirm(reply.startedAt_))
+    bool hasRestarted = target_.confirm(reply.startedAt_);
+    if (hasRestarted)
         handleRestart(now);
     if (isLeaseLost_) {
         log(LogLine("target_regained").text("target", target_.incarnation().id_));
         isLeaseLost_ = false;
         markReportsDue();
     }
+    leaseAnsweredAt_ = now;
+    if (hasRestarted) {
+        // Its lists prove nothing: calls of before the restart may still be carried out until a call with the raised token was.
+        keepRenewalsInFlight(now);
+        return;
+    }
     if (reply.clock_)
         target_.updateClock(*reply.clock_, now);
-    leaseAnsweredAt_ = now;
     if (unansweredAt_ && sent.sentAt_ >= *unansweredAt_) {
         unansweredAt_.reset();
         target_.dropClaim();
@@ -101,6 +120,8 @@
     handleRunning(reply, sent.sentAt_, now);
     if (!hasLeaseAnswer_ && !reply.hasUnreadRuns_) {
         hasLeaseAnswer_ = true;
+        // Calls with a time of a former clock, and those of an earlier incarnation of this agent, were carried out before this one.
+        leaseEndsAt_ = now + withDrift(settings_.times_.maxLease_);
         markReportsDue();
     }
     if (!orphans_.empty() || !hasLeaseAnswer_)
@@ -132,11 +153,15 @@
     renewLease(Duration(), now);
 }
 
-void RunAgentCore::acceptClaimOfSilentTarget(Time now)
+bool RunAgentCore::mayHaveRuns() const
 {
     auto isSent = [](const auto& row) { return row.second.phase_ != RunPhase::Queued; };
-    bool mayHaveRuns = std::any_of(runs_.rows().begin(), runs_.rows().end(), isSent);
-    if (!mayHaveRuns && (!hasLeaseAnswer_ || isLeaseLost_) && target_.acceptClaim())
+    return std::any_of(runs_.rows().begin(), runs_.rows().end(), isSent);
+}
+
+void RunAgentCore::acceptClaimOfSilentTarget(Time now)
+{
+    if (!mayHaveRuns() && (!hasLeaseAnswer_ || isLeaseLost_) && target_.acceptClaim())
         beginTarget(now);
 }
 
@@ -148,7 +173,6 @@
     handleRestart(now);
     isLeaseLost_ = false;
     leaseAnsweredAt_ = now;
-    renewAt_ = now;
     keepRenewalsInFlight(now);
 }
 
@@ -167,7 +191,8 @@
 
 /// Resets what applied to the target's previous incarnation only. After a restart under the same id, the lists show what
 /// runs: a start in transit may have reached the new incarnation, so runs that are not listed count as lost only by the rule
-/// for every list.
+/// for every list. Until a call with the raised fencing token is answered, nothing is started, and calls in transit may still
+/// extend the present incarnation's lease, to the longest that it grants.
 void RunAgentCore::handleRestart(Time now)
 {
     log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", target_.incarnation().startedAt_));
@@ -179,6 +204,9 @@
     orphans_.clear();
     highestSeenEnd_ = 0;
     hasLeaseAnswer_ = false;
+    renewAt_ = now;
+    Duration longestTransit = settings_.renewalWait_ + settings_.answerTimeout_;
+    leaseEndsAt_ = now + longestTransit + withDrift(settings_.times_.maxLease_);
     // The entries chose the former incarnation for them; the present one may serve another service or lack a label.
     refuseQueued(NotStartedReason::TargetUnavailable, now);
     for (auto& [id, run] : runs_.rows())
@@ -265,10 +293,10 @@
 
 void RunAgentCore::expireLease(Time now)
 {
-    if (!hasLeaseAnswer_ || isLeaseLost_ || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
+    bool isInUse = hasLeaseAnswer_ || mayHaveRuns();
+    if (!isInUse || isLeaseLost_ || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
         return;
-    Duration drift = scale(settings_.times_.lease_, maxClockDrift);
-    if (now <= leaseEndsAt_ + drift + settings_.times_.stopTimeout_)
+    if (now <= leaseEndsAt_ + settings_.times_.stopTimeout_)
         return;
     isLeaseLost_ = true;
     log(LogLine("target_lost").text("target", target_.incarnation().id_).milliseconds("silent_ms", now - leaseAnsweredAt_));
--- a/UnitTests/Runs/RunAgentCoreClaimTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreClaimTest.cpp
@@ -35,6 +35,7 @@
     {
         sendHeartbeat(false, 5);
         answerLease({ .startedAt_ = 5, .running_ = {}, .ended_ = {} });
+        answerLease({ .startedAt_ = 5, .running_ = {}, .ended_ = {} });
         startRun(1);
         reply(0, CallAnswer::Accepted);
         now_ += milliseconds(10);
@@ -142,6 +143,12 @@
 TEST_CASE("A silent target's runs are lost at the end of their lease and no sooner, whatever target is claimed meanwhile")
 {
     ClaimFixture agent;
+    // Until now its lease may last longer than asked for.
+    for (int i = 0; i < 4; ++i) {
+        agent.confirm();
+        agent.advanceWithHeartbeats(milliseconds(100));
+    }
+    agent.confirm();
     agent.sendHeartbeat(false, 9, "another");
     for (int i = 0; i < 6; ++i) {
         agent.answerLeases(noAnswer);
--- a/UnitTests/Runs/RunAgentFixture.h
+++ b/UnitTests/Runs/RunAgentFixture.h
@@ -102,6 +102,15 @@
         }
     }
 
+    /// Advances the time while the target answers nothing and the entry keeps its link alive.
+    void fallSilent(Duration span)
+    {
+        for (Duration passed {}; passed < span; passed += std::chrono::milliseconds(100)) {
+            answerLeases({ .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} });
+            advanceWithHeartbeats(std::chrono::milliseconds(100));
+        }
+    }
+
     std::vector<Wire::RunEnded> ends() const
     {
         std::vector<Wire::RunEnded> found;
