The clock in a start's answer counts only if the present incarnation of the target was asked

The answer to a start that a target's former incarnation gave may arrive after one of the present one: answers on different connections overtake each other, and a starved agent reads them in any order. Its clock was taken for that of the present incarnation, so that leases lay far in the future, were shortened to 1,000 ms and outlived what the agent reckoned with (700 ms).

Test on: RunAgentCoreRestartTest.cpp:96: FAILED: CHECK( agent.starts_[1].leaseUntil_ < 2000 )

--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -109,9 +109,10 @@
 
 void RunAgentCore::receiveStartReply(const CallReply& reply, Time now)
 {
-    if (reply.clock_)
-        target_.updateClock(*reply.clock_, now);
     Run* run = runs_.find(reply.call_);
+    bool isFromFormer = !run || run->isSentToFormer_;
+    if (reply.clock_ && !isFromFormer)
+        target_.updateClock(*reply.clock_, now);
     if (!run || run->phase_ == RunPhase::Queued)
         return;
     bool isStarting = run->phase_ == RunPhase::Starting;
--- a/UnitTests/Runs/RunAgentCoreRestartTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreRestartTest.cpp
@@ -82,4 +82,18 @@
     CHECK(agent.ends()[0].end_ == RunEnd::Lost);
 }
 
+// Guards against: leases far in the future for a restarted target, which it shortens to the longest that it grants.
+TEST_CASE("The clock in the answer to a start of before a restart is not taken for that of the target's next incarnation")
+{
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.answerLease({ .startedAt_ = 2, .running_ = {}, .ended_ = {} });
+    agent.answerLease({ .startedAt_ = 2, .running_ = {}, .ended_ = {} });
+    agent.core_.receiveStartReply({ agent.starts_.at(0).call_, CallAnswer::Accepted, 500'000 }, agent.now_);
+    agent.sendHeartbeat(false, 2);
+    agent.startRun(2);
+    REQUIRE(agent.starts_.size() == 2);
+    CHECK(agent.starts_[1].leaseUntil_ < 2000);
+}
+
 } // namespace Lagoonpick
