An orphan counts as gone only by a whole list that was requested after its stop

A run on a target that its agent did not start is stopped, and nothing is started and no lease extended while it is there.

--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -267,7 +267,7 @@
 
 /// Answers on two connections may overtake each other, so that a run whose end is known is listed once more. After the
 /// first list, an unknown run therefore counts as an orphan only once the answer to a renewal that was sent after it was
-/// first listed contains it again.
+/// first listed contains it again, and an orphan as gone only once a list that was requested after its stop lacks it.
 void RunAgentCore::handleOrphans(const std::set<RunName>& listed, const LeaseReply& reply, Time sentAt, Time now)
 {
     for (const auto& name : listed) {
@@ -279,8 +279,9 @@
     // A run that is missing may be in a row that could not be read.
     if (reply.hasUnreadRuns_)
         return;
-    std::erase_if(unknownSince_, [&](const auto& seen) { return !listed.contains(seen.first); });
-    std::erase_if(orphans_, [&](const auto& orphan) { return !listed.contains(orphan.first); });
+    auto isGone = [&](const auto& row) { return row.second <= sentAt && !listed.contains(row.first); };
+    std::erase_if(unknownSince_, isGone);
+    std::erase_if(orphans_, isGone);
 }
 
 void RunAgentCore::stopOrphan(const RunName& name, Time now)
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -208,6 +208,38 @@
     CHECK(agent.starts_.size() == 1);
 }
 
+// Guards against: a run that its agent did not start went on, its lease extended, after a list that was requested before its stop.
+TEST_CASE("A run that the agent did not start counts as gone only once a list that was requested after its stop and could be read lacks it")
+{
+    auto isUnread = GENERATE(true, false);
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    const RunningRow own { { "job.0.0.1", 1 }, 5 };
+    const RunningRow unknown { { "old.0.0.0", 3 }, 10 };
+    for (int i = 0; i < 2; ++i) {
+        agent.answerLease({ .running_ = { own, unknown }, .ended_ = {} });
+        agent.now_ += milliseconds(1);
+    }
+    REQUIRE(agent.leases_.size() == agent.answeredCount_ + 2);
+    LeaseReply reply { .answer_ = CallAnswer::Accepted, .clock_ = 1000, .startedAt_ = 1, .running_ = { own, unknown }, .ended_ = {} };
+    reply.call_ = agent.leases_[agent.answeredCount_++].call_;
+    agent.core_.receive(reply, agent.now_);
+    agent.collect();
+    REQUIRE(agent.stops_.size() == 1);
+    if (isUnread) {
+        agent.advance(milliseconds(30));
+        agent.answeredCount_ = agent.leases_.size() - 1;
+    }
+    agent.answerLease({ .running_ = { own }, .ended_ = {}, .isPartial_ = isUnread, .hasUnreadRuns_ = isUnread });
+    agent.startRun(2);
+    CHECK(agent.starts_.size() == 1);
+    agent.advance(milliseconds(30));
+    agent.answerLease({ .running_ = { own }, .ended_ = {} });
+    agent.startRun(3);
+    CHECK(agent.starts_.size() == 2);
+}
+
 TEST_CASE("A restored heartbeat opens the target, unless the target is draining or a newer heartbeat has arrived")
 {
     struct Row {
