Ends are not confirmed to a target that may have restarted

A call that confirms ends names the number of the last one seen. A target that has restarted numbers its ends anew and forgets those up to that number, though nobody has seen them: a run that it began and ended as done between two calls was in no list, counted as lost and was started again elsewhere. So a call that is sent while the target may have restarted confirms nothing; ends that are listed once more are known by their number. Left: a call that was sent before anything showed the restart.

Test on: RunAgentCoreRestartTest.cpp:108: FAILED: CHECK( agent.leases_.back().highestSeenEnd_ == 0 ), 57 == 0

--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -53,6 +53,9 @@
         call.leaseUntil_ = *clock + std::chrono::duration_cast<std::chrono::milliseconds>(settings_.times_.lease_).count();
         recordLease(now);
     }
+    // A next incarnation numbers its ends anew, and would forget some that nobody has seen.
+    if (!isAnswering || unansweredAt_)
+        call.highestSeenEnd_ = 0;
     pendingLeases_[call.call_] = { now, fencingToken_ };
     effects_.leases_.push_back(std::move(call));
 }
--- a/UnitTests/Runs/RunAgentCoreRestartTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreRestartTest.cpp
@@ -96,4 +96,20 @@
     CHECK(agent.starts_[1].leaseUntil_ < 2000);
 }
 
+// Guards against: a restarted target forgot the end of a run before the agent knew of it, so that the run counted as lost.
+TEST_CASE("No end is confirmed to a target that may have restarted")
+{
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 57, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    CHECK(agent.leases_.back().highestSeenEnd_ == 57);
+    agent.answerLeases({ .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} });
+    CHECK(agent.leases_.back().highestSeenEnd_ == 0);
+    agent.advance(milliseconds(30));
+    agent.answerLease({ .running_ = {}, .ended_ = { { 57, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    CHECK(agent.leases_.back().highestSeenEnd_ == 57);
+    CHECK(agent.ends().size() == 1);
+}
+
 } // namespace Lagoonpick
