Runs that a silent target never listed count as lost only once its longest lease is over

Cause: a call without an answer, and the answer to a start, do not tell which incarnation carried them out. A next one shortens a time of the former clock to the longest lease that it grants (1,000 ms); the agent took all runs of a silent target for lost 764 ms after the last call.

A run that the known incarnation has listed can be on no other: a new one runs nothing, and a start is carried out once. So listed runs are lost as before, by the lease that was asked for. Only runs that were started since the last list (some 70 ms) wait until the longest lease is over, counted from when the last call that asked for one was sent, given up or answered.

Test on: RunAgentCoreRestartTest.cpp:130: FAILED: REQUIRE( agent.ends().size() == 1 ), 2 == 1. RunAgentCoreLeaseTest "The lease of a target that does not answer ...": its run is listed first, so that it is still lost within the same time; without that it failed (0 == 1).

--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -115,6 +115,8 @@
         target_.updateClock(*reply.clock_, now);
     if (!run || run->phase_ == RunPhase::Queued)
         return;
+    // An answer to a start does not tell which incarnation gave it.
+    recordLeaseOfNext(now);
     bool isStarting = run->phase_ == RunPhase::Starting;
     switch (reply.answer_) {
     case CallAnswer::Accepted:
@@ -276,14 +278,20 @@
 
 void RunAgentCore::endAllAsLost(std::string_view why, Time now)
 {
-    std::vector<RunId> sent;
+    endAsLost(
+        why, [](const Run& run) { return run.phase_ != RunPhase::Queued; }, now);
+}
+
+void RunAgentCore::endAsLost(std::string_view why, bool (*isLost)(const Run&), Time now)
+{
+    std::vector<RunId> lost;
     for (const auto& [id, run] : runs_.rows()) {
-        if (run.phase_ != RunPhase::Queued)
-            sent.push_back(id);
+        if (isLost(run))
+            lost.push_back(id);
     }
-    if (!sent.empty())
-        log(LogLine("runs_lost").text("why", why).number("runs", sent.size()));
-    for (RunId id : sent)
+    if (!lost.empty())
+        log(LogLine("runs_lost").text("why", why).number("runs", lost.size()));
+    for (RunId id : lost)
         end(id, RunEnd::Lost, NotStartedReason::None, now);
 }
 
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -129,6 +129,7 @@
     void reportEnd(Incarnation entry, EntrySession& session, Wire::RunEnded ended);
     void refuseQueued(Wire::NotStartedReason reason, Time now);
     void endAllAsLost(std::string_view why, Time now);
+    void endAsLost(std::string_view why, bool (*isLost)(const Run&), Time now);
     void stopRunsOf(Incarnation entry, std::string_view why, Time now);
 
     void keepRenewalsInFlight(Time now);
@@ -137,6 +138,8 @@
     void renewLease(Duration wait, Time now);
     /// Records that a call which is sent now asks for a lease.
     void recordLease(Time now);
+    /// Records that a call which asked for a lease may have been carried out until now by a next incarnation of the target.
+    void recordLeaseOfNext(Time now);
     /// Asks at the target's address which target is there, unless that is being asked already.
     void checkClaim(const TargetHeartbeat& claim, Time now);
     /// True if there are runs that were sent to the target.
@@ -190,12 +193,16 @@
     struct PendingLease {
         Time sentAt_;
         std::uint64_t tokenUsed_ { 0 };
+        bool extendsLease_ { false };
     };
     std::map<std::uint64_t, PendingLease> pendingLeases_;
     /// When the target last answered a lease call, or when its present incarnation became known.
     Time leaseAnsweredAt_;
     /// When the latest lease that the target may hold ends by this agent's clock, if the target's is as slow as it may be.
     Time leaseEndsAt_;
+    /// The same for a next incarnation of the target, of which this agent does not know yet: a call that was meant for the present one
+    /// gets the longest lease there. It can have only runs that the present one never listed.
+    Time leaseOfNextEndsAt_;
     /// Earliest time of the next regular renewal.
     Time renewAt_;
     /// True once the current incarnation of the target has answered a lease call that was sent to it as such, with everything that
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -56,7 +56,7 @@
     // A next incarnation numbers its ends anew, and would forget some that nobody has seen.
     if (!isAnswering || unansweredAt_)
         call.highestSeenEnd_ = 0;
-    pendingLeases_[call.call_] = { now, fencingToken_ };
+    pendingLeases_[call.call_] = { now, fencingToken_, call.leaseUntil_.has_value() };
     effects_.leases_.push_back(std::move(call));
 }
 
@@ -74,6 +74,12 @@
     // The target's clock was read with its last answer.
     Duration sinceAnswer = now - leaseAnsweredAt_;
     leaseEndsAt_ = std::max(leaseEndsAt_, leaseAnsweredAt_ + withDrift(sinceAnswer + settings_.times_.lease_));
+    recordLeaseOfNext(now);
+}
+
+void RunAgentCore::recordLeaseOfNext(Time now)
+{
+    leaseOfNextEndsAt_ = now + withDrift(settings_.times_.maxLease_);
 }
 
 void RunAgentCore::receive(const LeaseReply& reply, Time now)
@@ -96,6 +102,8 @@
         return;
     default:
         ++counters_.leaseAnswersMissed_;
+        if (sent.extendsLease_)
+            recordLeaseOfNext(now);
         handleUnansweredLease(now);
         return;
     }
@@ -212,8 +220,10 @@
     leaseEndsAt_ = now + longestTransit + withDrift(settings_.times_.maxLease_);
     // The entries chose the former incarnation for them; the present one may serve another service or lack a label.
     refuseQueued(NotStartedReason::TargetUnavailable, now);
-    for (auto& [id, run] : runs_.rows())
+    for (auto& [id, run] : runs_.rows()) {
         run.isSentToFormer_ = true;
+        run.isListed_ = false;
+    }
     markReportsDue();
 }
 
@@ -242,6 +252,7 @@
         }
         listed.insert(id);
         Run& run = *runs_.find(id);
+        run.isListed_ = true;
         run.progress_.record(row.percent_, now);
         if (run.phase_ == RunPhase::Starting)
             confirmStart(run, now);
@@ -298,15 +309,20 @@
 void RunAgentCore::expireLease(Time now)
 {
     bool isInUse = hasLeaseAnswer_ || mayHaveRuns();
-    if (!isInUse || isLeaseLost_ || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
-        return;
-    if (now <= leaseEndsAt_ + settings_.times_.stopTimeout_)
+    if (!isInUse || now - leaseAnsweredAt_ <= settings_.times_.lease_ / 2)
         return;
-    isLeaseLost_ = true;
-    log(LogLine("target_lost").text("target", target_.incarnation().id_).milliseconds("silent_ms", now - leaseAnsweredAt_));
-    endAllAsLost("lease_expired", now);
-    markReportsDue();
-    acceptClaimOfSilentTarget(now);
+    if (!isLeaseLost_ && now > leaseEndsAt_ + settings_.times_.stopTimeout_) {
+        isLeaseLost_ = true;
+        log(LogLine("target_lost").text("target", target_.incarnation().id_).milliseconds("silent_ms", now - leaseAnsweredAt_));
+        endAsLost(
+            "lease_expired", [](const Run& run) { return run.isListed_; }, now);
+        markReportsDue();
+        acceptClaimOfSilentTarget(now);
+    }
+    if (isLeaseLost_ && mayHaveRuns() && now > leaseOfNextEndsAt_ + settings_.times_.stopTimeout_) {
+        endAllAsLost("longest_lease_expired", now);
+        acceptClaimOfSilentTarget(now);
+    }
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -38,6 +38,8 @@
     RunPhase phase_ { RunPhase::Queued };
     /// True once the target has accepted the start or listed the run.
     bool isConfirmed_ { false };
+    /// True once the present incarnation of the target has listed the run, so that no other can have it.
+    bool isListed_ { false };
     /// When the start was found to be unanswered; the next list shows whether the run has begun.
     std::optional<Time> unansweredAt_;
     /// True if the run was sent to a former incarnation of the target: nothing that the present one says proves that it never
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -144,6 +144,7 @@
     RunAgentFixture agent;
     agent.startRun(1);
     agent.reply(0, CallAnswer::Accepted);
+    agent.answerLease({ .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
     for (int i = 0; i < 3; ++i) {
         agent.advanceWithHeartbeats(milliseconds(300));
         agent.answerLeases({ .answer_ = CallAnswer::NoAnswer, .clock_ = {}, .running_ = {}, .ended_ = {} });
--- a/UnitTests/Runs/RunAgentCoreRestartTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreRestartTest.cpp
@@ -112,4 +112,27 @@
     CHECK(agent.ends().size() == 1);
 }
 
+// Guards against: a run that a restarted target had begun was taken for lost at the end of the lease that its former incarnation
+// was asked for.
+TEST_CASE("Of a silent target's runs, those that it never listed count as lost only once the longest lease is over")
+{
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    for (int i = 0; i < 8; ++i) {
+        agent.answerLease({ .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
+        agent.advanceWithHeartbeats(milliseconds(100));
+    }
+    agent.answerLease({ .running_ = { { { "job.0.0.1", 1 }, 5 } }, .ended_ = {} });
+    agent.startRun(2);
+    agent.reply(1, CallAnswer::Accepted);
+    agent.fallSilent(milliseconds(1000));
+    REQUIRE(agent.ends().size() == 1);
+    CHECK(agent.ends()[0].run_ == 1);
+    agent.fallSilent(milliseconds(300));
+    REQUIRE(agent.ends().size() == 2);
+    CHECK(agent.ends()[1].run_ == 2);
+    CHECK(agent.ends()[1].end_ == RunEnd::Lost);
+}
+
 } // namespace Lagoonpick
