A configuration counts as confirmed from the sending of the read that shows it

An entry answers 404 for an unknown queue as long as it knows that its configuration was the newest 2.5 s ago or later; that time began when the store's answer was handled. An answer of a slow store, or one that waited in a starved entry, made an older state count as fresh for that much longer. Now it begins when the read was sent.

--- a/JobEntry/ConfigurationWatch.cpp
+++ b/JobEntry/ConfigurationWatch.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-ConfigurationWatch::ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, Events events)
+ConfigurationWatch::ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events)
     : context_(context)
     , store_(store)
+    , clock_(clock)
     , events_(std::move(events))
 {
 }
@@ -46,6 +47,7 @@
 
 boost::asio::awaitable<bool> ConfigurationWatch::readNewest()
 {
+    const Time sentAt = clock_.now();
     auto result = co_await store_.read(std::string(UsersPlatform::configurationKey));
     updateReachability(result.has_value(), result ? nullptr : &result.error());
     if (!result)
@@ -56,7 +58,7 @@
         co_return false;
     revision_ = std::max(read.revision_, read.item_->revision_);
     events_.onChanged_(read.item_->value_);
-    events_.onConfirmed_();
+    events_.onConfirmed_(sentAt);
     isReadDue_ = false;
     co_return true;
 }
--- a/JobEntry/ConfigurationWatch.h
+++ b/JobEntry/ConfigurationWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonpick/Core/BootTime.h"
 #include "platform/StoreClient.h"
 
 #include <functional>
@@ -16,15 +17,15 @@
     struct Events {
         /// Called with the configuration's text after each read, and for each change that a watch returns.
         std::function<void(const std::string& text)> onChanged_;
-        /// A read has shown that the configuration last passed to `onChanged_` is the newest.
-        std::function<void()> onConfirmed_;
+        /// A read that was sent at `sentAt` has shown that the configuration last passed to `onChanged_` was the newest then or later.
+        std::function<void(Time sentAt)> onConfirmed_;
         /// A call to the store failed; called once until a call succeeds again.
         std::function<void(const Error&)> onStoreLost_;
         /// A call succeeded after one that failed.
         std::function<void()> onStoreRegained_;
     };
 
-    ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, Events events);
+    ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events);
 
     void start();
 
@@ -37,6 +38,7 @@
 
     boost::asio::io_context& context_;
     UsersPlatform::StoreClient& store_;
+    const BootTime& clock_;
     Events events_;
     /// The revision after which the next watch continues.
     std::uint64_t revision_ { 0 };
--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -44,7 +44,7 @@
     })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , store_(context, settings_.storeAddress_)
-    , configurationWatch_(context, store_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this] { core_.confirmConfiguration(beginInput()); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
+    , configurationWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -60,8 +60,8 @@
 
     /// Installs a newer version of the configuration; ignores the same or an older version.
     void setQueues(QueueTable queues, std::string text, Time now);
-    /// Records that the installed configuration was verified to be the newest.
-    void confirmConfiguration(Time now) { configurationConfirmedAt_ = now; }
+    /// Records that the installed configuration was the newest at `time`.
+    void confirmConfiguration(Time time) { configurationConfirmedAt_ = time; }
 
     void submit(CallerId caller, const JobRequest& request, Time now);
     /// Handles a caller that closed its connection: cancels its job unless other callers wait for the job too.
