--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -86,6 +86,7 @@
         { .name_ = "entries are starved while ways get slow by 600 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .entryStall_ = 0.3 },
         { .name_ = "agents and entries are starved while links are reset", .linkReset_ = 0.05, .entryStall_ = 0.3, .agentStall_ = 0.3 },
         { .name_ = "agents are starved while targets restart", .agentStall_ = 0.3, .targetRestart_ = 0.02 },
+        { .name_ = "agents are starved while targets restart and are cut off", .agentStall_ = 0.3, .targetRestart_ = 0.05, .targetCut_ = 0.05 },
         { .name_ = "agents are starved while targets restart and are cut off, links are cut and answers are lost", .linkCut_ = 0.03, .agentStall_ = 0.3, .targetRestart_ = 0.02, .targetCut_ = 0.02, .answerLoss_ = 0.02 },
         { .name_ = "machines are replaced under their agents' names", .machineReplacement_ = 0.005 },
         { .name_ = "machines are replaced under their agents' names while ways get slow", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .machineReplacement_ = 0.005 },
