--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -123,12 +123,20 @@
         target_.setFailing(request.body_ == "on");
     else if (request.path_ == "/standin/late")
         isNextStartLate_ = true;
+    else if (request.path_ == "/standin/restart")
+        restart();
     else
         return false;
     respond({ .body_ = "{}", .stream_ = {} });
     return true;
 }
 
+void UsersTargetStandIn::restart()
+{
+    target_.restart(now());
+    waitingLeases_.clear();
+}
+
 void UsersTargetStandIn::handle(const HttpRequest& request, const HttpServer::Respond& respond)
 {
     if (handleControlRequest(request, respond))
@@ -153,7 +161,10 @@
         StartCall start { 0, name, text("spec"), number("deadline_ms"), token, {} };
         if (std::exchange(isNextStartLate_, false)) {
             auto timer = std::make_shared<boost::asio::steady_timer>(context_, lateStartDelay);
-            timer->async_wait([this, timer, start](const boost::system::error_code&) { target_.receive(start, now(), true); });
+            timer->async_wait([this, timer, start, incarnation = target_.incarnation()](const boost::system::error_code&) {
+                if (target_.incarnation() == incarnation)
+                    target_.receive(start, now(), true);
+            });
             return;
         }
         respond(toResponse(target_.receive(start, now(), false)));
--- a/StandIns/UsersTargetStandIn.h
+++ b/StandIns/UsersTargetStandIn.h
@@ -23,8 +23,9 @@
 /// Stand-in for a target of the users' platform: heartbeats, starts, stops and leases in the platform's formats.
 ///
 /// A task's payload states its run time and its need: `work_ms=50 cpu=1000` (milliseconds and milli-cores). Tests control
-/// the target by `POST /standin/drain`, `POST /standin/fail` (body `on` or `off`), and `POST /standin/late`: the next
-/// start is carried out 2 s later and not answered. Used on the thread that runs `context`.
+/// the target by `POST /standin/drain`, `POST /standin/fail` (body `on` or `off`), `POST /standin/late`: the next
+/// start is carried out 2 s later and not answered; `POST /standin/restart`: it starts anew under its id and leaves calls
+/// that wait unanswered, so its connections have to be cut then. Used on the thread that runs `context`.
 class UsersTargetStandIn {
 public:
     UsersTargetStandIn(boost::asio::io_context& context, UsersTargetSettings settings);
@@ -45,6 +46,7 @@
     void handle(const HttpRequest& request, const HttpServer::Respond& respond);
     /// Handles a request of a test, below /standin/; false if the request is none.
     bool handleControlRequest(const HttpRequest& request, const HttpServer::Respond& respond);
+    void restart();
     /// Answers the lease calls that have ends to report or have waited long enough.
     void answerLeases();
     /// Appends a line to the record file.
