--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -3,8 +3,8 @@
 #include "ContractTests/Support/Process.h"
 #include "ContractTests/Support/Relay.h"
 
+#include <atomic>
 #include <memory>
-#include <random>
 
 namespace Lagoonpick::Soak {
 
@@ -19,8 +19,8 @@
 };
 
 /// Runs the programs of the users' platform as separate processes, with stand-ins for the store and the targets. Relays
-/// stand in front of each entry's link address, each target and the store. One thread may signal, kill and start entries
-/// while another one does so with agents.
+/// stand in front of each entry's link address, each target and the store. Several threads may signal, kill and start
+/// processes, each its own.
 class SoakSystem {
 public:
     explicit SoakSystem(SoakSize size);
@@ -41,6 +41,8 @@
 
     /// Writes a version of the configuration into the store.
     void configure(std::uint64_t version) const;
+    /// Writes a new version, from any thread.
+    void configureAnew() { configure(++configurationVersion_); }
 
     /// Sends a signal to the process of an entry or an agent. A process that ends stays down until it is started again.
     void signalEntry(std::size_t entry, int number) const { entries_[entry].process_->sendSignal(number); }
@@ -106,6 +108,7 @@
     Contract::TemporaryFolder folder_;
     std::uint64_t entryDescriptors_;
     std::size_t maxEntries_;
+    std::atomic<std::uint64_t> configurationVersion_ { 1 };
     std::string storeAddress_;
     std::string storeRelayAddress_;
     std::unique_ptr<Contract::Process> storeProcess_;
