The users' target stand-in ends runs and leases on time also when its process did not run

What the target would have done is now played at its own time, in ticks of 2 ms, before anything else is handled. This is as strict for the programs: work and leases end at the times that the target's clock says.

TargetStandInTest passes.

--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -93,14 +93,18 @@
                   return LeasedTarget::Running { name, { numberIn(payload, "cpu", 1000), 1, 0 }, std::chrono::milliseconds(numberIn(payload, "work_ms", 50)) };
               } })
     , recordStream_(settings_.recordFile_, std::ios::app)
+    , advancedTo_(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()))
     , timer_(context)
 {
-    target_.restart(now());
+    target_.restart(advancedTo_);
 }
 
-Time UsersTargetStandIn::now() const
+Time UsersTargetStandIn::now()
 {
-    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    Time time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    for (; advancedTo_ + tickInterval < time; advancedTo_ += tickInterval)
+        target_.advance(advancedTo_);
+    return advancedTo_ = time;
 }
 
 std::string UsersTargetStandIn::listen()
@@ -112,7 +116,7 @@
 
 void UsersTargetStandIn::record(const char* what, const RunName& name, std::string_view end)
 {
-    recordStream_ << now().time_since_epoch().count() << ' ' << what << ' ' << name.task_ << ' ' << name.number_ << ' ' << end << ' ' << settings_.id_ << std::endl;
+    recordStream_ << advancedTo_.time_since_epoch().count() << ' ' << what << ' ' << name.task_ << ' ' << name.number_ << ' ' << end << ' ' << settings_.id_ << std::endl;
 }
 
 bool UsersTargetStandIn::handleControlRequest(const HttpRequest& request, const HttpServer::Respond& respond)
--- a/StandIns/UsersTargetStandIn.h
+++ b/StandIns/UsersTargetStandIn.h
@@ -42,7 +42,9 @@
         HttpServer::Respond respond_;
     };
 
-    Time now() const;
+    /// The present time. What the target did meanwhile happens first, at its own time: a run or a lease ends on time also when this
+    /// process did not run then.
+    Time now();
     void handle(const HttpRequest& request, const HttpServer::Respond& respond);
     /// Handles a request of a test, below /standin/; false if the request is none.
     bool handleControlRequest(const HttpRequest& request, const HttpServer::Respond& respond);
@@ -64,6 +66,7 @@
     std::list<WaitingLease> waitingLeases_;
     std::ofstream recordStream_;
     bool isNextStartLate_ { false };
+    Time advancedTo_;
     boost::asio::steady_timer timer_;
 };
 
