Soak: runs end in the record before it is read, and every run of a task counts until its own end

A target stand-in that gets no processor time leaves the last ends of its runs out of the record, and the soak then reports two runs at once. One was seen runnable and not scheduled for 1.0 s beside a load of 98. After a first overlap, checkRuns forgot the second run and took its end for another run's, so overlaps with it were missed and one was reported with no target.

--- a/Soak/RunRecord.cpp
+++ b/Soak/RunRecord.cpp
@@ -58,7 +58,7 @@
 std::vector<std::string> checkRuns(const std::string& recordFile, const CallerRecord& callers)
 {
     std::vector<std::string> violations;
-    std::map<std::string, std::string> currentRun;
+    std::map<std::string, std::set<std::string>> currentRuns;
     std::map<std::string, std::set<std::string>> doneTasks;
     std::set<std::string> startedJobs;
     for (const auto& event : readEvents(recordFile)) {
@@ -66,13 +66,13 @@
         std::string where = event.target_ + " number " + event.number_;
         if (event.isBegin_) {
             startedJobs.insert(job);
-            auto [running, isNew] = currentRun.emplace(event.task_, where);
-            if (!isNew)
-                violations.push_back("two runs of a task at the same time: " + event.task_ + " on " + running->second + " and " + where);
+            auto& running = currentRuns[event.task_];
+            if (!running.empty())
+                violations.push_back("two runs of a task at the same time: " + event.task_ + " on " + *running.begin() + " and " + where);
+            running.insert(where);
             continue;
         }
-        if (currentRun[event.task_] == where)
-            currentRun.erase(event.task_);
+        currentRuns[event.task_].erase(where);
         if (event.end_ == "done")
             doneTasks[job].insert(event.task_);
     }
--- a/Soak/RunsSoak.cpp
+++ b/Soak/RunsSoak.cpp
@@ -162,6 +162,7 @@
     isOver = true;
     for (auto& caller : callers)
         caller.join();
+    system.waitForTargets();
     auto violations = checkRuns(system.recordFile(), record);
     injectors.appendViolations(violations);
     if (!isReady || record.doneCount() <= doneBefore)
--- a/Soak/SoakSystem.cpp
+++ b/Soak/SoakSystem.cpp
@@ -89,6 +89,12 @@
     return true;
 }
 
+void SoakSystem::waitForTargets() const
+{
+    for (const auto& agent : agents_)
+        Contract::call(agent.targetAddress_, "POST", "/standin/fail", "off");
+}
+
 void SoakSystem::startEntry(std::size_t i)
 {
     Entry& entry = entries_[i];
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -39,6 +39,9 @@
     /// Waits until every entry is ready; false if one of them takes longer than `seconds`.
     bool waitUntilReady(int seconds) const;
 
+    /// Waits until each target has recorded what ended until now.
+    void waitForTargets() const;
+
     /// Writes a version of the configuration into the store.
     void configure(std::uint64_t version) const;
     /// Writes a new version, from any thread.
--- a/StandIns/UsersTargetStandIn.cpp
+++ b/StandIns/UsersTargetStandIn.cpp
@@ -143,6 +143,7 @@
 
 void UsersTargetStandIn::handle(const HttpRequest& request, const HttpServer::Respond& respond)
 {
+    target_.advance(now());
     if (handleControlRequest(request, respond))
         return;
     if (!target_.isMeant(std::string(findHeader(request.headers_, "Lagoonpick-Expect-Instance")))) {
