No lease goes on past a stop without an answer, nor by a start

Callers would see: a task runs twice at once. An entry has answered or cancelled a job and sent its stops; the target doesn't get them, or its answers are lost. The entry confirms on for its other runs, so the agent went on to extend the target's lease, which holds for all runs there, and the job that was sent again 1,300 ms later ran beside its former run. And a start extended the lease without asking whether the runs of another, silent entry permit it.

Now no lease is extended, by a renewal or a start, once a stop has been without an answer for as long as it may take (50 ms), or while the entry of any run that may be on the target doesn't permit it.

--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -68,13 +68,12 @@
 
 RunAgentCore::RunId RunAgentCore::findNextToStart(Time now) const
 {
-    const Time leaseEnd = std::max(leaseEndsAt_, now + settings_.times_.lease_);
     const Wire::Resources used = runs_.used();
     const Wire::Resources& capacity = target_.heartbeat().capacity_;
     RunId best = 0;
     const Run* bestRun = nullptr;
     for (const auto& [id, run] : runs_.rows()) {
-        if (run.phase_ != RunPhase::Queued || !hasRoom(capacity, used, run.need_) || !mayRunUntil(run.entry_, leaseEnd))
+        if (run.phase_ != RunPhase::Queued || !hasRoom(capacity, used, run.need_) || !mayStart(run.entry_, now))
             continue;
         if (!bestRun || run.due_ < bestRun->due_) {
             best = id;
@@ -86,7 +85,8 @@
 
 void RunAgentCore::startFittingRuns(Time now)
 {
-    if (!isOpen() || unansweredAt_ || now < noRoomUntil_)
+    // A start extends the lease of all runs.
+    if (!isOpen() || unansweredAt_ || now < noRoomUntil_ || !mayExtendLease(now))
         return;
     for (RunId id = findNextToStart(now); id; id = findNextToStart(now))
         start(id, *runs_.find(id), now);
@@ -182,8 +182,14 @@
         end(id, RunEnd::NotStarted, reason, now);
         return;
     }
+    beginStop(id, run, reason, now);
+}
+
+void RunAgentCore::beginStop(RunId id, Run& run, NotStartedReason reason, Time now)
+{
     run.reason_ = reason;
     run.phase_ = RunPhase::Stopping;
+    run.stopBeganAt_ = now;
     sendStop(id, run, now);
 }
 
@@ -196,9 +202,7 @@
 /// Stops a run whose start was not answered. The start may still be carried out; only an answered stop rules that out.
 void RunAgentCore::revokeStart(RunId id, Run& run, Time now)
 {
-    run.reason_ = NotStartedReason::Unanswered;
-    run.phase_ = RunPhase::Stopping;
-    sendStop(id, run, now);
+    beginStop(id, run, NotStartedReason::Unanswered, now);
 }
 
 void RunAgentCore::repeatStops(Time now)
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -101,6 +101,8 @@
     /// True if the entry counts its runs here as going on until a lease that ends at `leaseEnd` is over. What it last confirmed is the
     /// only proof of that: messages may be on their way for long.
     bool mayRunUntil(Incarnation entry, Time leaseEnd) const;
+    /// True if a run that begins now ends in time also if it lasts as long as the target's lease.
+    bool mayStart(Incarnation entry, Time now) const { return mayRunUntil(entry, std::max(leaseEndsAt_, now + settings_.times_.lease_)); }
     void handle(LinkId, const Wire::EntryHello&, Time now);
     void handle(LinkId, const Wire::RunHeartbeat&, Time now);
     void handle(LinkId, const Wire::ConfigurationRequest&, Time now);
@@ -118,6 +120,7 @@
     void start(RunId id, Run& run, Time now);
     void confirmStart(Run& run, Time now);
     void requestStop(RunId id, Run& run, Wire::NotStartedReason reason, Time now);
+    void beginStop(RunId id, Run& run, Wire::NotStartedReason reason, Time now);
     void sendStop(RunId id, Run& run, Time now);
     void revokeStart(RunId id, Run& run, Time now);
     void repeatStops(Time now);
@@ -133,7 +136,8 @@
     void stopRunsOf(Incarnation entry, std::string_view why, Time now);
 
     void keepRenewalsInFlight(Time now);
-    /// True if the entries of all runs that may be on the target permit a lease from now on.
+    /// True if the entries of all runs that may be on the target permit a lease from now on, and no stop has been without an answer for
+    /// longer than it may take: an entry that has answered its job confirms on, while the run must not go on.
     bool mayExtendLease(Time now) const;
     void renewLease(Duration wait, Time now);
     /// Records that a call which is sent now asks for a lease.
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -65,7 +65,10 @@
     const Time leaseEnd = now + settings_.times_.lease_;
     return std::all_of(runs_.rows().begin(), runs_.rows().end(), [&](const auto& row) {
         const Run& run = row.second;
-        return run.phase_ == RunPhase::Queued || run.isStopAnswered_ || mayRunUntil(run.entry_, leaseEnd);
+        if (run.phase_ == RunPhase::Queued || run.isStopAnswered_)
+            return true;
+        bool isStopOverdue = run.phase_ == RunPhase::Stopping && now - run.stopBeganAt_ >= settings_.times_.stopTimeout_;
+        return !isStopOverdue && mayRunUntil(run.entry_, leaseEnd);
     });
 }
 
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -51,6 +51,8 @@
     /// When the last confirmation of the run's start or stop arrived from the target.
     Time answeredAt_;
     Time stopSentAt_;
+    /// When the first stop was sent.
+    Time stopBeganAt_;
     RunProgress progress_;
     /// Earliest time of the next stall report to the entry.
     Time nextStallReport_;
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -291,4 +291,51 @@
     CHECK(target.incarnation() == TargetIncarnation { "target", 5 });
 }
 
+// Guards against: a silent entry's run whose stops get no answer went on by the starts of another entry, after the silent one had
+// started it elsewhere.
+TEST_CASE("No start extends the target's lease while a run that its entry takes for over soon may be there")
+{
+    RunAgentFixture agent;
+    constexpr LinkId other { 2 };
+    agent.attach(other, Incarnation(2));
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    const LeaseReply listed { .running_ = { { { "job.0.0.1", 1 }, 10 } }, .ended_ = {} };
+    for (int passed = 0; passed < 600; passed += 20) {
+        agent.core_.receive(other, Wire::RunHeartbeat { .agentTime_ = agent.agentTime() }, agent.now_);
+        agent.answerLease(listed);
+        agent.advance(milliseconds(20));
+    }
+    REQUIRE_FALSE(agent.stops_.empty());
+    REQUIRE_FALSE(agent.leases_.back().leaseUntil_);
+    agent.core_.receive(other, Wire::StartRun { .run_ = 1, .task_ = "other.0.0.1", .number_ = 1, .payload_ = "p", .service_ = "service", .need_ = { 1000, 10, 0 }, .waitMicroseconds_ = 1'000'000, .callerTimeoutMicroseconds_ = 5'000'000, .agentTime_ = agent.agentTime() }, agent.now_);
+    agent.advance({});
+    CHECK(agent.starts_.size() == 1);
+    // Once the stop was answered, the run will not go on.
+    agent.core_.receiveStopReply({ agent.stops_.back().call_, CallAnswer::Accepted, 1000 }, agent.now_);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Stopped } } });
+    agent.advance(milliseconds(20));
+    CHECK(agent.starts_.size() == 2);
+}
+
+// Guards against: an entry gave a job up and the caller sent it elsewhere, while renewals for other runs kept the former run going
+// whose stops were lost.
+TEST_CASE("The lease is not extended for ever while stops get no answer")
+{
+    RunAgentFixture agent;
+    agent.startRun(1);
+    agent.reply(0, CallAnswer::Accepted);
+    agent.core_.receive(link, Wire::StopRun { 1 }, agent.now_);
+    Time stoppedAt = agent.now_;
+    const LeaseReply listed { .running_ = { { { "job.0.0.1", 1 }, 10 } }, .ended_ = {} };
+    while (agent.now_ - stoppedAt <= LeaseTiming().entryTimeout_) {
+        agent.core_.receive(link, Wire::RunHeartbeat { .agentTime_ = agent.agentTime() }, agent.now_);
+        agent.answerLease(listed);
+        agent.advance(milliseconds(20));
+    }
+    agent.answerLease(listed);
+    REQUIRE(agent.stops_.size() > 5);
+    CHECK_FALSE(agent.leases_.back().leaseUntil_);
+}
+
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunAgentCoreTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreTest.cpp
@@ -86,7 +86,7 @@
 
 TEST_CASE("A start that was long on its way is returned")
 {
-    // The target's clock may be slower by 2 % of the lease, 14 ms.
+    // A lease may last 14 ms longer than asked for, since the target's clock may be slow.
     auto [confirmedAgo, isStarted] = GENERATE(table<int, bool>({ { 0, true }, { 480, true }, { 500, false }, { 2000, false } }));
     RunAgentFixture agent;
     // After its first answer, the target's lease may last longer than asked for.
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -90,6 +90,12 @@
         { .name_ = "agents are starved while targets restart and are cut off, links are cut and answers are lost", .linkCut_ = 0.03, .agentStall_ = 0.3, .targetRestart_ = 0.02, .targetCut_ = 0.02, .answerLoss_ = 0.02 },
         { .name_ = "machines are replaced under their agents' names", .machineReplacement_ = 0.005 },
         { .name_ = "machines are replaced under their agents' names while ways get slow", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .machineReplacement_ = 0.005 },
+        { .name_ = "stops of long tasks are lost while links are reset and cut", .linkReset_ = 0.03, .linkCut_ = 0.03, .stopLoss_ = 0.05, .longestTask_ = milliseconds(4000), .load_ = 0.12 },
+        { .name_ = "stops of long tasks are lost while callers leave", .stopLoss_ = 0.05, .callerDisconnect_ = 0.4, .longestTask_ = milliseconds(4000), .load_ = 0.12 },
+        { .name_ = "callers of long tasks leave while entries are starved and ways get slow by 600 ms", .slowWay_ = 0.05, .maxLatency_ = milliseconds(600), .entryStall_ = 0.3, .callerDisconnect_ = 0.4, .longestTask_ = milliseconds(4000), .load_ = 0.12 },
+        { .name_ = "callers of long tasks leave while entries are starved, the way up is lost and the way down gets slow by 2 s", .maxLatency_ = milliseconds(2000), .lostWayUp_ = 0.02, .entryStall_ = 0.3, .callerDisconnect_ = 0.4, .longestTask_ = milliseconds(4000), .load_ = 0.12 },
+        { .name_ = "callers of long tasks leave while entries and agents are starved and links are cut", .linkCut_ = 0.05, .entryStall_ = 0.3, .agentStall_ = 0.3, .callerDisconnect_ = 0.4, .longestTask_ = milliseconds(4000), .load_ = 0.12 },
+        { .name_ = "everything late, long tasks", .agentKill_ = 0.005, .entryKill_ = 0.005, .linkReset_ = 0.02, .linkCut_ = 0.01, .slowWay_ = 0.02, .maxLatency_ = milliseconds(2000), .lostWayUp_ = 0.005, .entryStall_ = 0.1, .agentStall_ = 0.1, .targetRestart_ = 0.003, .targetCut_ = 0.005, .delayedCall_ = 0.02, .answerLoss_ = 0.02, .callerDisconnect_ = 0.1, .longestTask_ = milliseconds(4000), .load_ = 0.2 },
         { .name_ = "everything late", .agentKill_ = 0.005, .entryKill_ = 0.005, .linkReset_ = 0.02, .linkCut_ = 0.01, .slowWay_ = 0.02, .maxLatency_ = milliseconds(2000), .lostWayUp_ = 0.005, .entryStall_ = 0.1, .agentStall_ = 0.1, .targetRestart_ = 0.003, .targetCut_ = 0.005, .delayedCall_ = 0.02, .answerLoss_ = 0.02, .callerDisconnect_ = 0.1, .load_ = 0.9 },
     }));
     checkHistories(faults, 12);
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -48,6 +48,8 @@
     double machineReplacement_ { 0 };
     /// Calls to the target and its heartbeats are lost for up to 2.5 s.
     double targetCut_ { 0 };
+    /// Stops to the target are lost for up to 3 s, while it answers its other calls.
+    double stopLoss_ { 0 };
     /// The target drains until it restarts.
     double targetDrain_ { 0 };
     /// The clock that the agent's next incarnation starts with is up to 5 s behind.
@@ -68,6 +70,8 @@
     std::uint32_t maxEntries_ { RunAgentCoreSettings().maxEntries_ };
     /// Share of requests whose callers disconnect within 0.3 s.
     double callerDisconnect_ { 0 };
+    /// Longest time that a task takes.
+    Duration longestTask_ { std::chrono::milliseconds(900) };
     /// Mean utilization of the targets, as a share of their capacity.
     double load_ { 0.5 };
 };
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -110,6 +110,8 @@
     }
     if (chance(faults_.targetCut_))
         agent.targetCutUntil_ = now_ + randomDuration(milliseconds(50), milliseconds(2500));
+    if (faults_.stopLoss_ > 0 && chance(faults_.stopLoss_))
+        agent.stopsLostUntil_ = now_ + randomDuration(milliseconds(500), milliseconds(3000));
     if (chance(faults_.targetDrain_))
         agent.target_->setDraining();
     if (chance(faults_.targetFailure_))
--- a/UnitTests/Runs/RunWorldParts.h
+++ b/UnitTests/Runs/RunWorldParts.h
@@ -79,6 +79,8 @@
     Time lastInputAt_;
     /// Until this time, calls to the target and its heartbeats are lost.
     Time targetCutUntil_;
+    /// Until this time, stops to the target are lost.
+    Time stopsLostUntil_;
     /// When the agent received the first heartbeat that reports the drain of its target.
     std::optional<Time> drainAcknowledgedAt_;
     /// When the agent received the first heartbeat of a draining target that it has not acknowledged.
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -28,8 +28,8 @@
 StandIns::LeasedTarget::Running RunWorld::describeRun(const RunName& name)
 {
     if (!plan_) {
-        // Half of the tasks take up to 200 ms and the others up to 900 ms; 1 % fail.
-        Duration length = randomDuration(milliseconds(20), milliseconds(name.task_.back() % 2 ? 200 : 900));
+        // Half of the tasks take up to 200 ms; 1 % fail.
+        Duration length = randomDuration(milliseconds(20), name.task_.back() % 2 ? milliseconds(200) : faults_.longestTask_);
         return { name, need, length, chance(0.01) };
     }
     const PlannedJob& job = *plannedJobs_.at(name.task_.substr(0, name.task_.find('.')));
@@ -79,6 +79,8 @@
 
 void RunWorld::sendStop(Agent& agent, const StopCall& stop)
 {
+    if (now_ < agent.stopsLostUntil_)
+        return;
     std::uint64_t incarnation = agent.incarnationCount_;
     callTarget(
         agent, [this, &agent, stop, incarnation](StandIns::LeasedTarget& target, bool isLate) {
