A task that has room waits for its entry's next confirmation instead of being returned for lack of room

Right after a target's first answer its lease may last 1,020 ms, so that a start needs a confirmation of the last 180 ms. One that was older was returned as no room in the same tick, counted as bounced, and could be sent to the same target again. Now it waits up to 200 ms; the entry's next heartbeat comes after 100.

Test: RunAgentCoreLeaseTest "A task that has room on a target which has just answered ...", failed with confirmations 200 and 300 ms old.

--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -24,6 +24,9 @@
 /// Time for which a link is kept after the report that the target is closed: starts that the entry sent before it received the
 /// report arrive within this time.
 constexpr Duration detachDelay = std::chrono::seconds(1);
+/// Time for which a task waits at least if the latest confirmation of its entry is too old for the target's lease: the entry's next
+/// heartbeat arrives within it.
+constexpr Duration confirmationWait = std::chrono::milliseconds(200);
 
 bool servesTask(const TargetHeartbeat& target, const Wire::StartRun& task)
 {
@@ -245,6 +248,8 @@
             reason = NotStartedReason::NoRoom;
         run.waitUntil_ = now + tolerable * 2;
     }
+    if (!mayStart(entry, now))
+        run.waitUntil_ = std::max(run.waitUntil_, now + confirmationWait);
     RunId id = runs_.add(std::move(run));
     if (reason == NotStartedReason::None)
         return;
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -338,4 +338,17 @@
     CHECK_FALSE(agent.leases_.back().leaseUntil_);
 }
 
+// Guards against: a task that fitted was returned for lack of room, and counted as bounced, because the lease was longer than its
+// entry's confirmation permits.
+TEST_CASE("A task that has room on a target which has just answered for the first time is not returned for lack of room")
+{
+    auto confirmedAgo = GENERATE(values<int>({ 0, 100, 200, 300 }));
+    RunAgentFixture agent;
+    agent.advance(milliseconds(20));
+    agent.startRun(1, {}, 1000, milliseconds(100), {}, milliseconds(confirmedAgo));
+    INFO(confirmedAgo);
+    for (const auto& ended : agent.ends())
+        CHECK(ended.reason_ != NotStartedReason::NoRoom);
+}
+
 } // namespace Lagoonpick
