A configuration that another process had kept does not prove that a queue does not exist

Now only a read of the store confirms; without one an unknown queue gets 503.

Test: JobEntryCoreTest "A configuration that another process had kept ..." (written with the change, not run on the former code, whose setQueues took the time as a parameter).

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -149,13 +149,13 @@
 
 void JobEntryHost::installConfiguration(const std::string& text, std::string_view source)
 {
-    Time now = beginInput();
+    beginInput();
     auto queues = UsersPlatform::decodeConfiguration(text);
     if (!queues) {
         log(LogLine("configuration_unreadable").text("source", source).text("error", queues.error().message_));
         return;
     }
-    core_.setQueues(std::move(queues).value(), text, now);
+    core_.setQueues(std::move(queues).value(), text);
     loop_.scheduleTick();
 }
 
--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -42,14 +42,13 @@
 {
 }
 
-void JobEntryCore::setQueues(QueueTable queues, std::string text, Time now)
+void JobEntryCore::setQueues(QueueTable queues, std::string text)
 {
     if (queues.version() <= queues_.version())
         return;
     log(LogLine("configuration_installed").number("version", queues.version()).number("replaced", queues_.version()).number("queues", queues.rules().size()));
     queues_ = std::move(queues);
     configurationText_ = std::move(text);
-    configurationConfirmedAt_ = now;
 }
 
 std::optional<bool> JobEntryCore::hasQueue(std::string_view host, std::string_view path, Time now) const
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -58,8 +58,9 @@
 public:
     JobEntryCore(JobEntryCoreSettings settings, std::uint64_t seed);
 
-    /// Installs a newer version of the configuration; ignores the same or an older version.
-    void setQueues(QueueTable queues, std::string text, Time now);
+    /// Installs a newer version of the configuration; ignores the same or an older version. That it is the newest of all is not known
+    /// by that: another process may have kept it for long.
+    void setQueues(QueueTable queues, std::string text);
     /// Records that the installed configuration was the newest at `time`.
     void confirmConfiguration(Time time) { configurationConfirmedAt_ = time; }
 
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -27,7 +27,8 @@
     explicit JobEntryFixture(std::uint64_t agents = 2)
         : core_(JobEntryCoreSettings { .name_ = "entry", .incarnation_ = Incarnation(1), .linkAddress_ = "10.0.0.1:1" }, 1)
     {
-        core_.setQueues(makeQueues(1), "text", now_);
+        core_.setQueues(makeQueues(1), "text");
+        core_.confirmConfiguration(now_);
         for (std::uint64_t i = 1; i <= agents; ++i)
             attach(i, 100 + i);
         collect();
@@ -359,7 +360,7 @@
     rules.back().prefix_ = "/hopeless/";
     rules.back().slackFactor_ = 0.1;
     rules.back().allowance_ = milliseconds(20);
-    entry.core_.setQueues(QueueTable(2, rules), "text", entry.now_);
+    entry.core_.setQueues(QueueTable(2, rules), "text");
     auto hopeless = makeRequest("hopeless");
     hopeless.path_ = "/hopeless/";
     std::string line;
@@ -522,12 +523,25 @@
     CHECK(entry.answers_[0].jobOutcome_ == JobOutcome::GivenUp);
 }
 
+TEST_CASE("A configuration that another process had kept doesn't prove that a queue does not exist")
+{
+    // How long ago a read of the store showed that the installed configuration was the newest; -1: never.
+    auto [confirmedMsAgo, expected] = GENERATE(table<int, std::optional<bool>>({ { -1, std::nullopt }, { 2501, std::nullopt }, { 2500, false } }));
+    JobEntryCore core(JobEntryCoreSettings {}, 1);
+    Time now { std::chrono::hours(1) };
+    if (confirmedMsAgo >= 0)
+        core.confirmConfiguration(now - milliseconds(confirmedMsAgo));
+    core.setQueues(JobEntryFixture::makeQueues(5), "text");
+    CHECK(core.hasQueue("host", "/other/", now) == expected);
+    CHECK(core.hasQueue("host", "/queue/", now) == true);
+}
+
 TEST_CASE("A configuration is never replaced by an older one")
 {
     auto [second, expected] = GENERATE(table<std::uint64_t, std::uint64_t>({ { 4, 5 }, { 5, 5 }, { 9, 9 } }));
     JobEntryFixture entry;
-    entry.core_.setQueues(JobEntryFixture::makeQueues(5), "text", entry.now_);
-    entry.core_.setQueues(JobEntryFixture::makeQueues(second), "text", entry.now_);
+    entry.core_.setQueues(JobEntryFixture::makeQueues(5), "text");
+    entry.core_.setQueues(JobEntryFixture::makeQueues(second), "text");
     CHECK(entry.core_.configurationVersion() == expected);
 }
 
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -124,7 +124,7 @@
         rules.back().name_ = kind.name_;
         rules.back().prefix_ = "/" + kind.name_ + "/";
     }
-    entry.core_->setQueues(QueueTable(1, rules), "text", now_);
+    entry.core_->setQueues(QueueTable(1, rules), "text");
     entry.isUp_ = true;
     entry.lastInputAt_ = now_;
     std::uint64_t incarnation = ++entry.incarnationCount_;
