Sums of resources and scaled time spans keep within their types

What others would have seen: a target whose used and queued resources pass 32 bits together looked free, and a span scaled by a huge factor was cast out of the range of its type, which is undefined. Not seen on a deployment; found by reading.

Sums stop at the highest amount, spans at about 3000 years, so that they can still be added to any time.

--- a/Lagoonpick/Core/Time.h
+++ b/Lagoonpick/Core/Time.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -14,10 +15,13 @@
 /// A point in time, in microseconds since the Unix epoch. The times that a process passes in must not run backwards.
 using Time = std::chrono::time_point<HostClock, Duration>;
 
-/// Multiplies a time span by `factor`; the result is truncated to whole microseconds.
+/// Multiplies a time span by `factor`; the result is truncated to whole microseconds. Its amount is at most about 3000 years, so that
+/// it fits into its type and can be added to any time.
 inline Duration scale(Duration span, double factor)
 {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
+    constexpr double maxMicroseconds = 1e17;
+    double product = static_cast<double>(span.count()) * factor;
+    return Duration(static_cast<Duration::rep>(std::clamp(product, -maxMicroseconds, maxMicroseconds)));
 }
 
 /// Whole milliseconds since the Unix epoch, as submission ids carry them.
--- a/Lagoonpick/Wire/Resources.h
+++ b/Lagoonpick/Wire/Resources.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 
 namespace Lagoonpick::Wire {
 
@@ -12,9 +13,16 @@
     bool operator==(const Resources&) const = default;
 };
 
+/// The sum of two amounts, or the highest amount if that is lower: a sum that wrapped would make a full target look free.
+inline std::uint32_t addAmounts(std::uint32_t left, std::uint32_t right)
+{
+    std::uint32_t sum = left + right;
+    return sum < left ? std::numeric_limits<std::uint32_t>::max() : sum;
+}
+
 inline Resources operator+(const Resources& left, const Resources& right)
 {
-    return { left.milliCores_ + right.milliCores_, left.memoryMegabytes_ + right.memoryMegabytes_, left.accelerators_ + right.accelerators_ };
+    return { addAmounts(left.milliCores_, right.milliCores_), addAmounts(left.memoryMegabytes_, right.memoryMegabytes_), addAmounts(left.accelerators_, right.accelerators_) };
 }
 
 /// Returns whether `need` fits into `capacity` beside `used`.
