Each field of a frame between entries and agents has limits, checked as it is decoded

What others would have seen: numbers near 2^63 in a report wrapped, so that the target looked better than any other and drew all tasks; a run that failed with a reason of one that never began took its start number back; an agent without an incarnation was taken into the table; spans out of range lay in the past; a frame of 16 MB could take gigabytes once decoded. Not seen on a deployment; own peers send none of it. Found by tests.

Each field has a name and a rule now: counters up to 2^53, spans up to a year, amounts up to 1,000,000,000, texts that are UTF-8 and of limited length, at most 64 labels, 1024 addresses, 16,384 messages a frame. Measures are reduced to the limits as they are encoded, so that no link is closed for one. Errors name the message's number, kind and field.

Both codecs rejected fields that are left out, doubled or of another type before.

--- a/Lagoonpick/Wire/FrameCodec.h
+++ b/Lagoonpick/Wire/FrameCodec.h
@@ -3,9 +3,11 @@
 #include "Lagoonpick/Core/Error.h"
 #include "Lagoonpick/Core/Incarnation.h"
 #include "Lagoonpick/Core/SubmissionId.h"
+#include "Lagoonpick/Wire/FieldRules.h"
 
 #include <array>
 #include <cbor.h>
+#include <fmt/format.h>
 #include <limits>
 #include <span>
 #include <string>
@@ -26,6 +28,9 @@
 
 /// Largest size of a CBOR head in bytes: the initial byte and a 64-bit argument.
 constexpr std::size_t maxHeadBytes = 9;
+/// Limit on the messages of a frame. A message takes about a hundred times as many bytes in memory as the shortest one does in a
+/// frame.
+constexpr std::size_t maxFrameMessages = 16'384;
 
 /// Appends CBOR items to a frame.
 class Encoder {
@@ -84,6 +89,16 @@
             write(item);
     }
 
+    /// Writes the value within its limits, if its rule has any to which values are reduced.
+    template <typename Value, typename Rule>
+    void write(const Field<Value, Rule>& field)
+    {
+        if constexpr (requires { field.rule_.reduce(field.value_); })
+            write(field.rule_.reduce(field.value_));
+        else
+            write(field.value_);
+    }
+
     template <typename Value>
     requires requires(Encoder& archive, const Value& value) { describe(archive, value); }
     void write(const Value& value)
@@ -140,7 +155,8 @@
     return callbacks;
 }
 
-/// Reads the CBOR items of a frame in order. After the first error `hasFailed` returns true and every read yields a default value.
+/// Reads the CBOR items of a frame in order. After the first error `hasFailed` returns true and every read yields a default value or
+/// one that must not be used.
 class Decoder {
 public:
     explicit Decoder(std::string_view frame)
@@ -150,9 +166,11 @@
 
     bool hasFailed() const { return hasFailed_; }
     bool isAtEnd() const { return rest_.empty(); }
+    /// The first error: the field, as far as it has a name, and what is wrong with it.
+    std::string fault() const { return fmt::format("{}{}", field_.empty() ? "a field" : fmt::format("the field '{}'", field_), fault_); }
 
     template <typename... Fields>
-    void operator()(Fields&... fields)
+    void operator()(Fields&&... fields)
     {
         (read(fields), ...);
     }
@@ -163,7 +181,7 @@
     {
         auto length = readItem(Item::Kind::Array).value_;
         if (length > rest_.size())
-            hasFailed_ = true;
+            fail(" has a length beyond the frame");
         return hasFailed_ ? 0 : length;
     }
 
@@ -196,13 +214,30 @@
     void read(std::string& value) { value = readItem(Item::Kind::Bytes).bytes_; }
 
     template <typename Element>
-    void read(std::vector<Element>& items)
+    void read(std::vector<Element>& items, std::size_t maxLength = std::numeric_limits<std::size_t>::max())
     {
         std::size_t length = beginArray();
+        if (length > maxLength)
+            fail(" has too many elements");
         for (std::size_t i = 0; i < length && !hasFailed_; ++i)
             read(items.emplace_back());
     }
 
+    template <typename Value, typename Rule>
+    void read(const Field<Value, Rule>& field)
+    {
+        if (hasFailed_)
+            return;
+        if constexpr (requires { field.rule_.maxCount_; })
+            read(field.value_, field.rule_.maxCount_);
+        else
+            read(field.value_);
+        if (auto fault = hasFailed_ ? std::string_view() : field.rule_.findFault(field.value_); !fault.empty())
+            fail(fault);
+        if (hasFailed_)
+            field_ = field.name_;
+    }
+
     template <typename Value>
     requires requires(Decoder& archive, Value& value) { describe(archive, value); }
     void read(Value& value)
@@ -211,11 +246,18 @@
     }
 
 private:
+    void fail(std::string_view fault)
+    {
+        if (!hasFailed_)
+            fault_ = fault;
+        hasFailed_ = true;
+    }
+
     std::uint64_t readUpTo(std::uint64_t limit)
     {
         auto value = readItem(Item::Kind::Unsigned).value_;
         if (value > limit)
-            hasFailed_ = true;
+            fail(" is above its limit");
         return hasFailed_ ? 0 : value;
     }
 
@@ -228,7 +270,7 @@
         auto result = cbor_stream_decode(
             reinterpret_cast<cbor_data>(rest_.data()), rest_.size(), &callbacks, &item);
         if (result.status != CBOR_DECODER_FINISHED || item.kind_ != expected) {
-            hasFailed_ = true;
+            fail(result.status == CBOR_DECODER_NEDATA ? " is missing or cut off" : " is of another type");
             return {};
         }
         rest_.remove_prefix(result.read);
@@ -237,6 +279,8 @@
 
     std::string_view rest_;
     bool hasFailed_ { false };
+    std::string_view field_;
+    std::string_view fault_;
 };
 
 template <typename Message, std::size_t... Kinds>
@@ -264,22 +308,26 @@
     return frame;
 }
 
-/// Decodes a frame. Fails with `Malformed` if `encodeFrame` can't have written it.
+/// Decodes a frame. Fails with `Malformed` if `encodeFrame` can't have written it; the error names the message and what is wrong.
 template <typename Message>
-Outcome<std::vector<Message>> decodeFrame(std::string_view frame)
+Outcome<std::vector<Message>> decodeFrame(std::string_view frame, std::string_view (*nameOfKind)(std::size_t))
 {
     constexpr auto kinds = std::make_index_sequence<std::variant_size_v<Message>>();
     Decoder decoder(frame);
     std::size_t length = decoder.beginArray();
+    if (decoder.hasFailed() || length > maxFrameMessages)
+        return fail(ErrorCode::Malformed, length ? "the frame has too many messages" : "the frame is not a list of messages");
     std::vector<Message> messages;
-    for (std::size_t i = 0; i < length && !decoder.hasFailed(); ++i) {
+    for (std::size_t i = 0; i < length; ++i) {
         std::uint32_t kind = 0;
         decoder.read(kind);
         if (!readAlternative(decoder, kind, messages.emplace_back(), kinds))
-            return fail(ErrorCode::Malformed, "unknown message kind");
+            return fail(ErrorCode::Malformed, fmt::format("message {} is of the unknown kind {}", i, kind));
+        if (decoder.hasFailed())
+            return fail(ErrorCode::Malformed, fmt::format("message {} ({}): {}", i, nameOfKind(kind), decoder.fault()));
     }
-    if (decoder.hasFailed() || !decoder.isAtEnd())
-        return fail(ErrorCode::Malformed, "frame is not a list of messages");
+    if (!decoder.isAtEnd())
+        return fail(ErrorCode::Malformed, "the frame goes on after its last message");
     return messages;
 }
 
--- a/Lagoonpick/Wire/MessageCodec.cpp
+++ b/Lagoonpick/Wire/MessageCodec.cpp
@@ -31,7 +31,7 @@
 
 Outcome<std::vector<Message>> decode(std::string_view frame)
 {
-    return decodeFrame<Message>(frame);
+    return decodeFrame<Message>(frame, nameOfKind);
 }
 
 } // namespace Lagoonpick::Wire
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonpick/Core/Underlying.h"
 #include "Lagoonpick/Wire/FrameCodec.h"
+#include "Lagoonpick/Wire/RunLimits.h"
 
 namespace Lagoonpick::Wire {
 
@@ -10,6 +11,63 @@
 template <typename Value, typename Plain>
 concept MaybeConst = std::same_as<std::remove_const_t<Value>, Plain>;
 
+template <typename Value>
+auto plain(std::string_view name, Value& value)
+{
+    return Field<Value, AnyValue> { name, value, {} };
+}
+
+template <typename Value>
+auto counter(std::string_view name, Value& value, std::uint64_t min)
+{
+    return Field<Value, InRange<std::uint64_t>> { name, value, { min, maxCounter } };
+}
+
+template <typename Value>
+auto timeSpan(std::string_view name, Value& value)
+{
+    return Field<Value, Measure<std::uint64_t>> { name, value, { 0, maxSpanMicroseconds } };
+}
+
+template <typename Value>
+auto agentTime(Value& value)
+{
+    return Field<Value, InRange<std::uint64_t>> { "agent_time", value, { 0, maxUnixMilliseconds } };
+}
+
+template <typename Value>
+auto resources(std::string_view name, Value& value, std::uint32_t max)
+{
+    return Field<Value, ResourcesUpTo> { name, value, { max } };
+}
+
+template <typename Value>
+auto text(std::string_view name, Value& value, std::size_t minBytes, std::size_t maxBytes)
+{
+    return Field<Value, ValidText> { name, value, { minBytes, maxBytes } };
+}
+
+template <typename Value>
+auto texts(std::string_view name, Value& value, std::size_t maxCount, std::size_t maxBytes)
+{
+    return Field<Value, ValidTexts> { name, value, { maxCount, { 0, maxBytes } } };
+}
+
+template <typename Value>
+auto identity(Value& value)
+{
+    return Field<Value, ValidIncarnation> { "incarnation", value, {} };
+}
+
+/// Only a run that never began has a reason for that. An entry takes some reasons as proof that the run was never sent to a target.
+struct ReasonFor {
+    RunEnd end_;
+    std::string_view findFault(NotStartedReason reason) const
+    {
+        return end_ == RunEnd::NotStarted || reason == NotStartedReason::None ? "" : " contradicts the end";
+    }
+};
+
 } // namespace
 
 template <>
@@ -24,66 +82,93 @@
 
 void describe(auto& archive, MaybeConst<EntryHello> auto& value)
 {
-    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_, value.address_);
+    archive(plain("version", value.version_), identity(value.incarnation_), text("name", value.name_, 1, maxNameBytes),
+        text("availability_zone", value.availabilityZone_, 0, maxNameBytes), text("address", value.address_, 1, maxAddressBytes));
 }
 
 void describe(auto& archive, MaybeConst<AgentHello> auto& value)
 {
-    archive(value.version_, value.incarnation_, value.name_, value.availabilityZone_, value.controlAddress_, value.targetAddress_, value.agentTime_);
+    archive(plain("version", value.version_), identity(value.incarnation_), text("name", value.name_, 1, maxNameBytes),
+        text("availability_zone", value.availabilityZone_, 0, maxNameBytes),
+        text("control_address", value.controlAddress_, 0, maxAddressBytes), text("target_address", value.targetAddress_, 0, maxAddressBytes),
+        agentTime(value.agentTime_));
 }
 
 void describe(auto& archive, MaybeConst<RunHeartbeat> auto& value)
 {
-    archive(value.configurationVersion_, value.highestSeenEnd_, value.agentTime_);
+    archive(counter("configuration_version", value.configurationVersion_, 0), counter("highest_seen_end", value.highestSeenEnd_, 0),
+        agentTime(value.agentTime_));
 }
 
 void describe(auto& archive, MaybeConst<ConfigurationRequest> auto& value)
 {
-    archive(value.version_);
+    archive(counter("version", value.version_, 0));
 }
 
 void describe(auto& archive, MaybeConst<ConfigurationCopy> auto& value)
 {
-    archive(value.version_, value.text_);
+    archive(counter("version", value.version_, 1), text("text", value.text_, 1, maxConfigurationBytes));
 }
 
 void describe(auto& archive, MaybeConst<EntryAddresses> auto& value)
 {
-    archive(value.addresses_);
+    archive(texts("addresses", value.addresses_, maxAddresses, maxAddressBytes));
 }
 
 void describe(auto& archive, MaybeConst<StartRun> auto& value)
 {
-    archive(value.run_, value.task_, value.number_, value.payload_, value.service_, value.requiredLabel_, value.need_,
-        value.workMicroseconds_, value.waitMicroseconds_, value.dueInMicroseconds_, value.callerTimeoutMicroseconds_,
-        value.agentTime_);
+    constexpr auto maxSpan = static_cast<std::int64_t>(maxSpanMicroseconds);
+    using DueIn = std::remove_reference_t<decltype((value.dueInMicroseconds_))>;
+    using Number = std::remove_reference_t<decltype((value.number_))>;
+    archive(counter("run", value.run_, 1), text("task", value.task_, 1, maxTaskNameBytes),
+        Field<Number, InRange<std::uint32_t>> { "number", value.number_, { 1, std::numeric_limits<std::uint32_t>::max() } },
+        text("payload", value.payload_, 0, maxPayloadBytes), text("service", value.service_, 0, maxNameBytes),
+        text("required_label", value.requiredLabel_, 0, maxNameBytes), resources("need", value.need_, maxAmount),
+        timeSpan("work", value.workMicroseconds_), timeSpan("wait", value.waitMicroseconds_),
+        Field<DueIn, Measure<std::int64_t>> { "due_in", value.dueInMicroseconds_, { -maxSpan, maxSpan } },
+        timeSpan("caller_timeout", value.callerTimeoutMicroseconds_), agentTime(value.agentTime_));
 }
 
 void describe(auto& archive, MaybeConst<StopRun> auto& value)
 {
-    archive(value.run_);
+    archive(counter("run", value.run_, 1));
 }
 
 void describe(auto& archive, MaybeConst<QueryRun> auto& value)
 {
-    archive(value.run_);
+    archive(counter("run", value.run_, 1));
 }
 
 void describe(auto& archive, MaybeConst<RunEnded> auto& value)
 {
-    archive(value.sequence_, value.run_, value.end_, value.reason_, value.durationMicroseconds_);
+    archive(counter("sequence", value.sequence_, 1), counter("run", value.run_, 1), plain("end", value.end_));
+    using Reason = std::remove_reference_t<decltype((value.reason_))>;
+    archive(Field<Reason, ReasonFor> { "reason", value.reason_, { value.end_ } }, timeSpan("duration", value.durationMicroseconds_));
 }
 
 void describe(auto& archive, MaybeConst<RunStalled> auto& value)
 {
-    archive(value.run_, value.remainingMicroseconds_);
+    archive(counter("run", value.run_, 1), timeSpan("remaining", value.remainingMicroseconds_));
 }
 
 void describe(auto& archive, MaybeConst<TargetReport> auto& value)
 {
-    archive(value.isOpen_, value.isSuspect_, value.service_, value.labels_, value.capacity_, value.used_, value.queued_,
-        value.slowdownPermille_, value.backlogMicroseconds_, value.typicalMicroseconds_, value.highestSeenRun_,
-        value.agentTime_);
+    using Slowdown = std::remove_reference_t<decltype((value.slowdownPermille_))>;
+    archive(plain("open", value.isOpen_), plain("suspect", value.isSuspect_), text("service", value.service_, 0, maxNameBytes),
+        texts("labels", value.labels_, maxLabels, maxNameBytes), resources("capacity", value.capacity_, maxAmount),
+        // Sums of amounts; adding to them saturates.
+        plain("used", value.used_), plain("queued", value.queued_),
+        Field<Slowdown, Measure<std::uint64_t>> { "slowdown", value.slowdownPermille_, { 0, maxSlowdownPermille } },
+        timeSpan("backlog", value.backlogMicroseconds_), timeSpan("typical", value.typicalMicroseconds_),
+        counter("highest_seen_run", value.highestSeenRun_, 0), agentTime(value.agentTime_));
+}
+
+std::string_view nameOfRunMessage(std::size_t kind)
+{
+    constexpr std::array<std::string_view, std::variant_size_v<RunMessage>> names { "entry_hello", "agent_hello", "heartbeat",
+        "configuration_request", "configuration_copy", "entry_addresses", "start_run", "stop_run", "query_run", "run_ended", "run_stalled",
+        "target_report" };
+    return names[kind];
 }
 
 std::string_view nameOf(RunEnd end)
@@ -106,7 +191,7 @@
 
 Outcome<std::vector<RunMessage>> RunCodec::decode(const std::string& frame)
 {
-    return decodeFrame<Message>(frame);
+    return decodeFrame<Message>(frame, nameOfRunMessage);
 }
 
 } // namespace Lagoonpick::Wire
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Transport/SuspensionDetector.h"
 #include "Lagoonpick/Wire/RunMessageCodec.h"
+#include "UnitTests/Runs/RunMessageExamples.h"
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -98,20 +99,7 @@
 
 TEST_CASE("Run messages are unchanged by encoding and decoding; truncated frames are rejected and any bytes are handled")
 {
-    std::vector<Wire::RunMessage> messages {
-        Wire::EntryHello { .incarnation_ = Incarnation(5), .name_ = "e", .availabilityZone_ = "z", .address_ = "10.0.0.1:1" },
-        Wire::AgentHello { .incarnation_ = Incarnation(6), .name_ = "a", .availabilityZone_ = "z", .controlAddress_ = "10.1.0.1:1", .targetAddress_ = "10.1.0.1:2", .agentTime_ = 1 },
-        Wire::RunHeartbeat { 3, 4, 5 },
-        Wire::ConfigurationRequest { 8 },
-        Wire::ConfigurationCopy { 9, "text" },
-        Wire::EntryAddresses { { "10.0.0.1:1", "10.0.0.2:1" } },
-        Wire::StartRun { 1, "job.0.0.1", 2, "payload", "service", "label", { 1, 2, 3 }, 4, 5, -6, 7, 8 },
-        Wire::StopRun { 1 },
-        Wire::QueryRun { 2 },
-        Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
-        Wire::RunStalled { 4, 700'000 },
-        Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 4, 5, 6, 7 },
-    };
+    auto messages = makeOneOfEachRunMessage();
     REQUIRE(messages.size() == std::variant_size_v<Wire::RunMessage>);
     std::string frame = Wire::RunCodec::encode(messages);
     auto decoded = Wire::RunCodec::decode(frame);
--- a/UnitTests/Wire/MessageCodecTest.cpp
+++ b/UnitTests/Wire/MessageCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "Lagoonpick/Wire/MessageCodec.h"
+#include "UnitTests/Support/CborItems.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -80,6 +81,15 @@
     CHECK(decoded.error().code_ == ErrorCode::Malformed);
 }
 
+TEST_CASE("A message whose field is left out, doubled, nested or of another type is rejected", "[MessageCodec]")
+{
+    for (const auto& message : makeOneOfEachKind()) {
+        CAPTURE(message.index());
+        for (const auto& frame : damageFields(encode(std::vector { message })))
+            CHECK_FALSE(decode(frame));
+    }
+}
+
 TEST_CASE("Corrupted and arbitrary frames are rejected or decoded, without any other effect", "[MessageCodec]")
 {
     rc::prop("a frame with one byte changed", [] {
