What a target says of itself and of its runs is read whole, within limits, or not at all

What others would have seen: a heartbeat with labels of megabytes was taken over and sent to every entry with each report; a sequence number that nothing exceeds made each later heartbeat count as old; an id of bytes that are no UTF-8 gave a record that could not be restored, so that a drain would be forgotten; a row of a list without a task named a run without one, and one without a percentage showed no progress; lists whose start time could not be read counted as those of the known incarnation, or of the claimed one; a record that was read in part gave a target no capacity. Not seen on a deployment; found by tests.

Service and zone have at most 256 bytes, labels 64 of as many, seq and born 2^53; ids are visible ASCII. Rows are whole, or the list is partial; lists of an unreadable start time are no answer. A record needs all its fields.

--- a/RunAgent/TargetRecord.cpp
+++ b/RunAgent/TargetRecord.cpp
@@ -2,16 +2,27 @@
 
 #include "platform/JsonFields.h"
 
+#include <array>
+
 namespace Lagoonpick {
 
 namespace json = boost::json;
+using UsersPlatform::FieldRule;
+using UsersPlatform::FieldType;
 
 namespace {
 
-std::string readStringOrEmpty(const json::object& record, std::string_view name)
-{
-    return UsersPlatform::readString(record, name).value_or("");
-}
+constexpr std::array<FieldRule, 9> recordFields { {
+    { "target", FieldType::Name },
+    { "born_ms", FieldType::Counter },
+    { "service", FieldType::Name },
+    { "availability_zone", FieldType::OptionalName },
+    { "labels", FieldType::Labels },
+    { "milli_cores", FieldType::Unsigned },
+    { "memory_mb", FieldType::Unsigned },
+    { "accelerators", FieldType::Unsigned },
+    { "draining", FieldType::Flag },
+} };
 
 } // namespace
 
@@ -31,11 +42,13 @@
     auto record = UsersPlatform::parseObject(text);
     if (!record)
         return fail(ErrorCode::Malformed, "the target's record is not a JSON object");
-    const json::value* draining = record->if_contains("draining");
-    TargetHeartbeat heartbeat { .incarnation_ = { readStringOrEmpty(*record, "target"), UsersPlatform::readUnsigned(*record, "born_ms").value_or(0) }, .service_ = readStringOrEmpty(*record, "service"), .availabilityZone_ = readStringOrEmpty(*record, "availability_zone") };
-    if (!heartbeat.incarnation_.isValid() || heartbeat.service_.empty() || !draining || !draining->is_bool())
-        return fail(ErrorCode::Malformed, "the target's record lacks a required field");
-    heartbeat.isDraining_ = draining->get_bool();
+    auto fault = UsersPlatform::findFieldFault(*record, recordFields);
+    if (!fault.empty())
+        return fail(ErrorCode::Malformed, std::move(fault));
+    TargetHeartbeat heartbeat { .incarnation_ = { *UsersPlatform::readString(*record, "target"), *UsersPlatform::readUnsigned(*record, "born_ms") }, .service_ = *UsersPlatform::readString(*record, "service"), .availabilityZone_ = *UsersPlatform::readString(*record, "availability_zone") };
+    if (!UsersPlatform::isVisibleName(heartbeat.incarnation_.id_))
+        return fail(ErrorCode::Malformed, "the field 'target' is no id");
+    heartbeat.isDraining_ = UsersPlatform::readBool(*record, "draining");
     heartbeat.capacity_ = { UsersPlatform::readAmount(*record, "milli_cores"), UsersPlatform::readAmount(*record, "memory_mb"), UsersPlatform::readAmount(*record, "accelerators") };
     heartbeat.labels_ = UsersPlatform::readStrings(*record, "labels");
     return heartbeat;
--- a/UnitTests/UsersPlatform/TargetCodecTest.cpp
+++ b/UnitTests/UsersPlatform/TargetCodecTest.cpp
@@ -177,4 +177,105 @@
     CHECK(renewal.body_ == R"({"fencing_token":7,"ack_seq":57,"deadline_ms":486000,"wait_ms":140})");
 }
 
+// Guards against: labels of megabytes went to every entry with each report, and a sequence number that nothing exceeds made later heartbeats
+// count as old.
+TEST_CASE("A heartbeat's texts and numbers are decoded at their limits and rejected beyond them")
+{
+    auto labels = [](std::size_t count, std::size_t bytes) {
+        std::string texts;
+        for (std::size_t i = 0; i < count; ++i)
+            texts += (i ? ",\"" : "\"") + std::string(bytes, 'x') + '"';
+        return R"("labels":[)" + texts + "]";
+    };
+    struct Row {
+        std::string from_;
+        std::string to_;
+        bool isValid_;
+    };
+    const std::string labelsFrom = R"("labels":["a","r1-3"])";
+    const std::string serviceFrom = R"("service":"s")";
+    auto row = GENERATE_REF(values<Row>({
+        { serviceFrom, R"("service":")" + std::string(256, 'x') + '"', true },
+        { serviceFrom, R"("service":")" + std::string(257, 'x') + '"', false },
+        { serviceFrom, R"("service":"")", false },
+        { serviceFrom, "\"service\":\"\xff\xfe\"", false },
+        { serviceFrom, R"("service":"first","service":"s")", true },
+        { serviceFrom, R"("service":"first","service":7)", false },
+        { R"("zone":"z")", R"("zone":"")", true },
+        { R"("zone":"z")", R"("zone":")" + std::string(257, 'x') + '"', false },
+        { labelsFrom, labels(0, 0), true },
+        { labelsFrom, labels(64, 256), true },
+        { labelsFrom, labels(65, 1), false },
+        { labelsFrom, labels(1, 257), false },
+        { labelsFrom, "\"labels\":[\"\xc3\"]", false },
+        { R"("seq":4)", R"("seq":9007199254740992)", true },
+        { R"("seq":4)", R"("seq":9007199254740993)", false },
+        { R"("born":77)", R"("born":9007199254740992)", true },
+        { R"("born":77)", R"("born":9007199254740993)", false },
+    }));
+    std::string text = validHeartbeat;
+    text.replace(text.find(row.from_), row.from_.size(), row.to_);
+    INFO(text.substr(0, 200));
+    CHECK(decodeHeartbeat("i", text).has_value() == row.isValid_);
+}
+
+// Guards against: an id that no header or record can hold was taken over, so that a drain could not be restored from its record.
+TEST_CASE("A notice from a path whose id is too long or has other than visible characters is none")
+{
+    auto [targetId, isValid] = GENERATE(table<std::string, bool>({ { std::string(256, 'i'), true }, { std::string(257, 'i'), false }, { "i\xff", false }, { "i\r\nX:1", false }, { "i 7", false }, { "i-7f3a91c2", true } }));
+    CHECK(decodeNotice(makeRequest("POST", "/lagoonpick/instances/" + targetId + "/heartbeat")).has_value() == isValid);
+}
+
+// Guards against: a row that was read in part named a run without a task, or showed no progress, so that a run was moved.
+TEST_CASE("A row of a target's lists is read whole, or the list is partial")
+{
+    auto [running, finished] = GENERATE(table<std::string, std::string>({
+        { R"([7,2,"",41])", "" },
+        { R"(["",2,"",41])", "" },
+        { R"([null,2,"",41])", "" },
+        { R"(["a.0.0.1",0,"",41])", "" },
+        { R"(["a.0.0.1",-2,"",41])", "" },
+        { R"(["a.0.0.1",2.5,"",41])", "" },
+        { R"(["a.0.0.1",2,"","41"])", "" },
+        { R"(["a.0.0.1",2,"",-1])", "" },
+        { R"(["a.0.0.1",2,"",null])", "" },
+        { R"(["a.0.0.1",2])", "" },
+        { R"({"task":"a.0.0.1"})", "" },
+        { '[' + ('"' + std::string(129, 'x')) + R"(",2,"",41])", "" },
+        { std::string(20, '[') + std::string(20, ']'), "" },
+        { "", R"([58,7,1,"done",""])" },
+        { "", R"([58,"",1,"done",""])" },
+        { "", R"([0,"a.0.0.1",1,"done",""])" },
+        { "", R"([-58,"a.0.0.1",1,"done",""])" },
+        { "", R"([18446744073709551615,"a.0.0.1",1,"done",""])" },
+        { "", R"([58,"a.0.0.1",0,"done",""])" },
+        { "", R"([58,"a.0.0.1",1,7,""])" },
+        { "", R"([58,"a.0.0.1",1])" },
+    }));
+    std::string text = R"({"clock_ms":5,"born":77,"running":[)" + running + R"(],"finished":[)" + finished + "]}";
+    INFO(text);
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, text });
+    CHECK(reply.running_.empty());
+    CHECK(reply.ended_.empty());
+    CHECK(reply.isPartial_);
+}
+
+TEST_CASE("The percentage of a running row may have a fraction, which is cut off")
+{
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"running":[["a.0.0.1",2,"",41.9],["a.0.0.2",2,"",1e300]],"finished":[]})" });
+    REQUIRE(reply.running_.size() == 2);
+    CHECK(reply.running_[0].percent_ == 41);
+    CHECK(reply.running_[1].percent_ == 100);
+}
+
+// Guards against: an unreadable start time counted as none, so that a claim of another incarnation was taken for proved.
+TEST_CASE("Lists whose start time can't be read prove nothing")
+{
+    auto born = GENERATE(values<std::string>({ R"("77")", "-77", "77.5", "null", "[]", "9007199254740993", "1e400" }));
+    auto reply = decodeLeaseReply(1, { ExchangeStage::Answered, 200, R"({"clock_ms":5,"born":)" + born + R"(,"running":[["a.0.0.1",2,"",41]],"finished":[[58,"a.0.0.9",1,"done",""]]})" });
+    CHECK(reply.answer_ == CallAnswer::NoAnswer);
+    CHECK(reply.running_.empty());
+    CHECK(reply.ended_.empty());
+}
+
 } // namespace Lagoonpick::UsersPlatform
