Frames that can't be decoded are logged, and lines about unreadable input are bounded

What operators saw: a link was closed for a frame that could not be decoded, and no line said whose frame it was or what was wrong. Lines about heartbeats and requests were not bounded: a sender of nothing else could fill the log's buffer, so that other lines were dropped.

MessageHub reports the sender's address and the fault; both hosts log frame_unreadable. FaultLog cuts both texts to 200 bytes and lets through 10 lines of an event in 10 s; the next one says how many were left out.

Tests: SupportTest "Lines about input that can't be decoded", new with its class.

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -33,7 +33,8 @@
     , core_(settings_.job_, seed)
     , links_(context, makeRunLinkLimits(),
           makeRunLinkEvents(
-              core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); }),
+              core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); },
+              [this](const std::string& sender, const Error& fault) { logFault("frame_unreadable", sender, fault.message_); }),
           seed + 1)
     , front_(context, settings_.frontLimits_, [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleFront(request, respond); })
     , ready_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) {
@@ -86,6 +87,13 @@
     return now;
 }
 
+void JobEntryHost::logFault(std::string_view event, std::string_view sender, const std::string& fault)
+{
+    Time now = clock_.now();
+    if (auto line = faultLog_.makeLine(event, sender, fault, now))
+        log_.write(now, *line);
+}
+
 void JobEntryHost::handleFront(const HttpRequest& request, const HttpServer::Respond& respond)
 {
     beginInput();
@@ -129,7 +137,7 @@
 
 void JobEntryHost::handle(const HttpRequest& request, const UsersPlatform::MalformedCall& call, const HttpServer::Respond& respond)
 {
-    log(LogLine("request_malformed").text("path", request.path_).text("why", call.reason_));
+    logFault("request_malformed", request.path_, call.reason_);
     respondTo(respond, UsersPlatform::encodeMalformed(call.reason_));
 }
 
@@ -152,7 +160,7 @@
     beginInput();
     auto queues = UsersPlatform::decodeConfiguration(text);
     if (!queues) {
-        log(LogLine("configuration_unreadable").text("source", source).text("error", queues.error().message_));
+        logFault("configuration_unreadable", source, queues.error().message_);
         return;
     }
     core_.setQueues(std::move(queues).value(), text);
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -6,6 +6,7 @@
 #include "Lagoonpick/Configuration/SettingsWatch.h"
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Job/JobEntryCore.h"
+#include "Lagoonpick/Observability/FaultLog.h"
 #include "Lagoonpick/Transport/HostLoop.h"
 #include "Lagoonpick/Transport/HttpServer.h"
 #include "Lagoonpick/Transport/MessageHub.h"
@@ -52,6 +53,8 @@
     /// The state for operators, as JSON.
     std::string dumpState() const;
     void log(const LogLine& line) { log_.write(clock_.now(), line); }
+    /// Logs input that can't be decoded, within the limits of `FaultLog`.
+    void logFault(std::string_view event, std::string_view sender, const std::string& fault);
 
     boost::asio::io_context& context_;
     JobEntrySettings settings_;
@@ -59,6 +62,7 @@
     BootTime clock_;
     SuspensionDetector suspensionDetector_;
     EventLog log_;
+    FaultLog faultLog_;
     JobEntryCore core_;
     MessageHub<Wire::RunCodec> links_;
     HttpServer front_;
--- a/Lagoonpick/Transport/FrameHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -320,6 +320,23 @@
         });
     }
 
+    template <typename Endpoint>
+    std::string remoteAddress(Endpoint& endpoint, const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code error;
+        auto connection = endpoint.get_con_from_hdl(handle, error);
+        return error ? std::string() : connection->get_remote_endpoint();
+    }
+
+    std::string peerAddress(LinkId id)
+    {
+        auto found = links_.find(toUnderlying(id));
+        if (found == links_.end())
+            return {};
+        const Link& link = found->second;
+        return link.isOutgoing_ ? link.address_ : remoteAddress(server_, link.handle_);
+    }
+
     asio::io_context& context_;
     LinkLimits limits_;
     FrameEvents events_;
@@ -379,6 +396,11 @@
     state_->abort(link);
 }
 
+std::string FrameHub::peerAddress(LinkId link) const
+{
+    return state_->peerAddress(link);
+}
+
 std::uint64_t FrameHub::bytesSent() const
 {
     return state_->bytesSent_;
--- a/Lagoonpick/Transport/FrameHub.h
+++ b/Lagoonpick/Transport/FrameHub.h
@@ -65,6 +65,9 @@
     /// Resets a link's connection: data that is still buffered at either end is lost. No further event is raised for it.
     void abort(LinkId link);
 
+    /// The address of a link's other end as `IP:port`; empty if the link is closed.
+    std::string peerAddress(LinkId link) const;
+
     /// Bytes of all frames sent and received so far, without the overhead of WebSocket and TCP.
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
--- a/Lagoonpick/Transport/MessageHub.h
+++ b/Lagoonpick/Transport/MessageHub.h
@@ -29,8 +29,13 @@
     std::function<void(LinkId)> onOpened_;
     std::function<void(LinkId)> onClosed_;
     std::function<void(LinkId, std::vector<Message>)> onReceived_;
+    /// Called with the sender's address and the fault when a frame can't be decoded, before its link is closed.
+    std::function<void(const std::string& sender, const Error& fault)> onRejected_ {};
 };
 
+/// How many messages a frame carries at most; further ones follow in frames of their own. Far below what a receiver accepts.
+inline constexpr std::size_t maxMessagesPerFrame = 1024;
+
 /// A `FrameHub` whose frames carry messages of one type. A frame that can't be decoded closes its link.
 ///
 /// Not thread-safe: see `FrameHub`.
@@ -42,6 +47,7 @@
 
     MessageHub(boost::asio::io_context& context, LinkLimits limits, MessageEvents<Message> events, std::uint64_t seed)
         : onReceived_(std::move(events.onReceived_))
+        , onRejected_(std::move(events.onRejected_))
         , frameHub_(context, limits, { std::move(events.onOpened_), std::move(events.onClosed_), [this](LinkId link, const std::string& frame) { return receive(link, frame); } }, seed)
     {
     }
@@ -50,10 +56,16 @@
     void stopAccepting() { frameHub_.stopAccepting(); }
     void setPeerAddresses(const std::vector<std::string>& addresses) { frameHub_.setPeerAddresses(addresses); }
 
-    /// Sends messages as one frame, in order, behind all earlier frames of the link. Does nothing if the link is closed.
-    void send(LinkId link, std::span<const Message> messages) { frameHub_.send(link, Codec::encode(messages)); }
+    /// Sends messages as one frame, or as few as possible, in order, behind all earlier frames of the link. Does nothing if the link
+    /// is closed.
+    void send(LinkId link, std::span<const Message> messages)
+    {
+        for (; messages.size() > maxMessagesPerFrame; messages = messages.subspan(maxMessagesPerFrame))
+            frameHub_.send(link, Codec::encode(messages.first(maxMessagesPerFrame)));
+        frameHub_.send(link, Codec::encode(messages));
+    }
 
-    /// Sends each message over its link, with one frame per link, which keeps the messages' order.
+    /// Sends each message over its link, in as few frames as possible, which keeps the messages' order.
     void send(std::vector<Outgoing> messages)
     {
         std::unordered_map<std::uint64_t, std::vector<Message>> batches;
@@ -73,13 +85,17 @@
     bool receive(LinkId link, const std::string& frame)
     {
         auto messages = Codec::decode(frame);
-        if (!messages)
+        if (!messages) {
+            if (onRejected_)
+                onRejected_(frameHub_.peerAddress(link), messages.error());
             return false;
+        }
         onReceived_(link, std::move(messages).value());
         return true;
     }
 
     std::function<void(LinkId, std::vector<Message>)> onReceived_;
+    std::function<void(const std::string&, const Error&)> onRejected_;
     FrameHub frameHub_;
 };
 
--- a/Lagoonpick/Transport/RunLinks.h
+++ b/Lagoonpick/Transport/RunLinks.h
@@ -21,9 +21,10 @@
 }
 
 /// Callbacks that pass the events of links to a decision core. `beginInput` is called before each event and returns the current
-/// time; `scheduleTick` is called after it and schedules a tick, which applies the core's effects.
-template <typename Core, typename BeginInput, typename ScheduleTick>
-MessageEvents<Wire::RunMessage> makeRunLinkEvents(Core& core, BeginInput beginInput, ScheduleTick scheduleTick)
+/// time; `scheduleTick` is called after it and schedules a tick, which applies the core's effects. `reject` is told of frames that
+/// can't be decoded.
+template <typename Core, typename BeginInput, typename ScheduleTick, typename Reject>
+MessageEvents<Wire::RunMessage> makeRunLinkEvents(Core& core, BeginInput beginInput, ScheduleTick scheduleTick, Reject reject)
 {
     return {
         [&core, beginInput, scheduleTick](LinkId link) {
@@ -39,7 +40,8 @@
             for (const auto& message : messages)
                 core.receive(link, message, now);
             scheduleTick();
-        }
+        },
+        reject
     };
 }
 
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -41,7 +41,8 @@
     , core_(settings_.run_)
     , links_(context, makeRunLinkLimits(),
           makeRunLinkEvents(
-              core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); }),
+              core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); },
+              [this](const std::string& sender, const Error& fault) { logFault("frame_unreadable", sender, fault.message_); }),
           seed)
     , control_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleControl(request, respond); })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
@@ -95,6 +96,13 @@
     return now;
 }
 
+void RunAgentHost::logFault(std::string_view event, std::string_view sender, const std::string& fault)
+{
+    Time now = clock_.now();
+    if (auto line = faultLog_.makeLine(event, sender, fault, now))
+        log_.write(now, *line);
+}
+
 void RunAgentHost::handleControl(const HttpRequest& request, const HttpServer::Respond& respond)
 {
     constexpr std::uint32_t statusBadRequest = 400;
@@ -113,7 +121,7 @@
     }
     auto heartbeat = UsersPlatform::decodeHeartbeat(notice->id_, request.body_);
     if (!heartbeat) {
-        log(LogLine("heartbeat_unreadable").text("target", notice->id_).text("error", heartbeat.error().message_));
+        logFault("heartbeat_unreadable", notice->id_, heartbeat.error().message_);
         respond({ .status_ = statusBadRequest, .body_ = "{}", .stream_ = {} });
         return;
     }
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -3,6 +3,7 @@
 #include "Lagoonpick/Configuration/SettingsWatch.h"
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Observability/FaultLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
 #include "Lagoonpick/Run/RunAgentCore.h"
 #include "Lagoonpick/Transport/HostLoop.h"
@@ -53,6 +54,8 @@
     /// The state for operators, as JSON.
     std::string dumpState() const;
     void log(const LogLine& line) { log_.write(clock_.now(), line); }
+    /// Logs input that can't be decoded, within the limits of `FaultLog`.
+    void logFault(std::string_view event, std::string_view sender, const std::string& fault);
 
     boost::asio::io_context& context_;
     RunAgentSettings settings_;
@@ -60,6 +63,7 @@
     BootTime clock_;
     SuspensionDetector suspensionDetector_;
     EventLog log_;
+    FaultLog faultLog_;
     RunAgentCore core_;
     MessageHub<Wire::RunCodec> links_;
     HttpServer control_;
--- a/UnitTests/Runs/SupportTest.cpp
+++ b/UnitTests/Runs/SupportTest.cpp
@@ -1,4 +1,5 @@
 #include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Observability/FaultLog.h"
 #include "Lagoonpick/Transport/SuspensionDetector.h"
 #include "Lagoonpick/Wire/RunMessageCodec.h"
 #include "UnitTests/Runs/RunMessageExamples.h"
@@ -110,4 +111,24 @@
     rc::prop("any bytes", [](const std::string& bytes) { (void)Wire::RunCodec::decode(bytes); });
 }
 
+// Guards against: a sender of nothing but unreadable input filled the log, so that other lines were dropped.
+TEST_CASE("Lines about input that can't be decoded are short and few, and say how many were left out")
+{
+    FaultLog log;
+    Time now { std::chrono::hours(1) };
+    std::size_t lines = 0;
+    std::size_t longest = 0;
+    for (int i = 0; i < 1000; ++i) {
+        auto line = log.makeLine("frame_unreadable", std::string(100'000, 's'), std::string(100'000, 'f'), now + milliseconds(i));
+        lines += line ? 1 : 0;
+        longest = std::max(longest, line ? line->fields().size() : 0);
+    }
+    CHECK(lines == 10);
+    CHECK(longest < 600);
+    CHECK(log.makeLine("heartbeat_unreadable", "i", "f", now + milliseconds(1000)).has_value());
+    auto later = log.makeLine("frame_unreadable", "10.0.0.1:1", "f", now + std::chrono::seconds(10));
+    REQUIRE(later.has_value());
+    CHECK(later->fields() == R"("event":"frame_unreadable","sender":"10.0.0.1:1","error":"f","left_out":990)");
+}
+
 } // namespace Lagoonpick
