--- a/UnitTests/UsersPlatform/DecoderFuzzTest.cpp
+++ b/UnitTests/UsersPlatform/DecoderFuzzTest.cpp
@@ -37,6 +37,7 @@
 struct Sample {
     std::string name_;
     std::string text_;
+    bool isFrame_;
 };
 
 /// The bytes that hexadecimal digits stand for.
@@ -66,7 +67,7 @@
         while (text.ends_with('\n'))
             text.pop_back();
         bool isHex = entry.path().extension() == ".hex";
-        samples.push_back({ entry.path().filename().string(), isHex ? fromHex(text) : text });
+        samples.push_back({ entry.path().filename().string(), isHex ? fromHex(text) : text, isHex });
     }
     std::sort(samples.begin(), samples.end(), [](const auto& left, const auto& right) { return left.name_ < right.name_; });
     return samples;
@@ -233,6 +234,8 @@
     for (const auto& sample : samples) {
         INFO(sample.name_);
         CHECK(checkAll(sample.text_).empty());
+        if (sample.isFrame_)
+            CHECK(Wire::RunCodec::decode(sample.text_).has_value());
     }
     Damage damage(samples, numberFromEnvironment("FUZZ_SEED", defaultSeed));
     auto inputs = numberFromEnvironment("FUZZ_INPUTS", defaultInputs);
--- a/UnitTests/UsersPlatform/TargetCodecTest.cpp
+++ b/UnitTests/UsersPlatform/TargetCodecTest.cpp
@@ -258,6 +258,7 @@
     CHECK(reply.running_.empty());
     CHECK(reply.ended_.empty());
     CHECK(reply.isPartial_);
+    CHECK(reply.hasUnreadRuns_ == !running.empty());
 }
 
 TEST_CASE("The percentage of a running row may have a fraction, which is cut off")
