--- a/UnitTests/Runs/RunFrameEffectsTest.cpp
+++ b/UnitTests/Runs/RunFrameEffectsTest.cpp
@@ -26,7 +26,7 @@
 public:
     TwoAgentsFixture()
     {
-        core_.setQueues(QueueTable(1, { { .name_ = "queue", .host_ = "host", .prefix_ = "/queue/", .service_ = "service", .maxAttempts_ = 2, .slackFactor_ = 3, .allowance_ = milliseconds(200) } }), "text", now_);
+        core_.setQueues(QueueTable(1, { { .name_ = "queue", .host_ = "host", .prefix_ = "/queue/", .service_ = "service", .maxAttempts_ = 2, .slackFactor_ = 3, .allowance_ = milliseconds(200) } }), "text");
         for (std::uint64_t agent = 1; agent <= 2; ++agent) {
             core_.linkOpened(LinkId(agent), now_);
             deliver(core_, LinkId(agent), toFrame(Wire::AgentHello { .incarnation_ = Incarnation(agent), .name_ = "agent-" + std::to_string(agent), .agentTime_ = 1 }), now_);
