No job is refused because jobs of another queue were

What callers saw: a job that could be done in time was refused (429), at random, since another queue of its service had had to refuse more in the last second. Cause: RejectionShares and mustRejectForFairness evened out the kinds of request. No caller gains by that: no room is kept for the one that was refused before. Change: both are gone, with isForFairness_ and for_others in the log.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -97,11 +97,6 @@
     job.deadline_ = now + request.callerTimeout_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
     Admission admission = admit(job, now);
-    if (admission.failureReason_ == JobFailureReason::None && mustRejectForFairness(job, now)) {
-        admission.failureReason_ = JobFailureReason::Overloaded;
-        admission.isForFairness_ = true;
-    }
-    rejectionShares_.record(job.queue_.service_, job.queue_.name_, admission.failureReason_ == JobFailureReason::Overloaded, now);
     if (admission.failureReason_ != JobFailureReason::None)
         return reject(caller, request, admission);
     ++counters_.accepted_;
@@ -264,7 +259,7 @@
     LogLine line("job_rejected");
     line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
     if (admission.failureReason_ == JobFailureReason::Overloaded && admission.finishLimit_.count())
-        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).flag("for_others", admission.isForFairness_).milliseconds("report_age_ms", admission.reportAge_);
+        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
     log(std::move(line));
     answerCaller(caller, JobOutcome::Rejected, admission.failureReason_);
 }
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -4,7 +4,6 @@
 #include "Lagoonpick/Job/JobEntryCoreSettings.h"
 #include "Lagoonpick/Job/JobTable.h"
 #include "Lagoonpick/Job/QueueTable.h"
-#include "Lagoonpick/Job/RejectionShares.h"
 #include "Lagoonpick/Job/WorkModel.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
@@ -131,13 +130,10 @@
         Duration expectedFinish_ {};
         /// Longest accepted value of `expectedFinish_`.
         Duration finishLimit_ {};
-        /// True if the job would end in time but is rejected because other queues of its service have to reject more jobs.
-        bool isForFairness_ { false };
         /// Age of the oldest target report that the decision uses.
         Duration reportAge_ {};
     };
     Admission admit(const HeldJob& job, Time now);
-    bool mustRejectForFairness(const HeldJob& job, Time now);
     /// Starts a task on the best agent, if any; otherwise the task waits for a later tick.
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// Random sample of the agents whose targets could run a task, split by whether they currently seem to have room.
@@ -180,7 +176,6 @@
     ConfigurationFetch configurationFetch_;
     Time configurationConfirmedAt_;
     WorkModel workModel_;
-    RejectionShares rejectionShares_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
     std::map<JobKey, HeldJob> jobs_;
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -95,14 +95,6 @@
     return admission;
 }
 
-/// Decides at random; the probability is the amount by which the queue's share of rejected jobs lies below the highest share of
-/// its service.
-bool JobEntryCore::mustRejectForFairness(const HeldJob& job, Time now)
-{
-    double shortfall = rejectionShares_.shortfall(job.queue_.service_, job.queue_.name_, now);
-    return std::uniform_real_distribution<double>(0, 1)(random_) < shortfall;
-}
-
 bool JobEntryCore::mustAvoidSuspects() const
 {
     std::size_t usable = 0;
--- a/Lagoonpick/Job/JobRequest.h
+++ b/Lagoonpick/Job/JobRequest.h
@@ -68,7 +68,7 @@
     None,
     NoConfiguration,
     NoTargets,
-    /// The job would end too late, other queues of its service have to reject more jobs, or the entry holds too many jobs.
+    /// The job would end too late, or the entry holds too many jobs.
     Overloaded,
     TooLarge,
     ShuttingDown,
