A queue's priority counts: waiting tasks start by it, and a job is refused only for a wait that it would have

Cause: agents ordered waiting tasks by due time alone, and reports gave one backlog for all. A job with little time was told the wait behind everything that waits, also behind what would start after it. Change: tasks start by priority, among equals by due time (StartOrder). A report gives the backlog at up to 16 places of that order, and an entry counts only what starts before the job, also of what is on its way. Preemption is not built. Version 5 of the links' protocol: entries and agents are replaced together.

--- a/Lagoonpick/Job/AgentTable.cpp
+++ b/Lagoonpick/Job/AgentTable.cpp
@@ -14,13 +14,32 @@
     return hasSamePlace && latestLink_ > other.latestLink_;
 }
 
-TargetLoadView AgentRow::load() const
+double AgentRow::slowdown() const
 {
-    TargetLoadView view { .capacity_ = report_.capacity_, .committed_ = report_.used_, .slowdown_ = static_cast<double>(report_.slowdownPermille_) / permille, .backlog_ = Duration(static_cast<Duration::rep>(report_.backlogMicroseconds_)), .typicalTime_ = Duration(static_cast<Duration::rep>(report_.typicalMicroseconds_)) };
-    view.committed_ = view.committed_ + report_.queued_;
+    return static_cast<double>(report_.slowdownPermille_) / permille;
+}
+
+Wire::Resources AgentRow::committed() const
+{
+    Wire::Resources sum = report_.used_ + report_.queued_;
     for (auto run = runs_.upper_bound(report_.highestSeenRun_); run != runs_.end(); ++run)
-        view.unseen_ = view.unseen_ + run->second;
-    view.committed_ = view.committed_ + view.unseen_;
+        sum = sum + run->second.need_;
+    return sum;
+}
+
+TargetLoadView AgentRow::load(const StartOrder& order) const
+{
+    TargetLoadView view {
+        .capacity_ = report_.capacity_,
+        .committed_ = committed(),
+        .slowdown_ = slowdown(),
+        .backlog_ = backlog_.waitOf(order),
+        .typicalTime_ = Duration(static_cast<Duration::rep>(report_.typicalMicroseconds_)),
+    };
+    for (auto run = runs_.upper_bound(report_.highestSeenRun_); run != runs_.end(); ++run) {
+        if (run->second.order_ <= order)
+            view.unseen_ = view.unseen_ + run->second.need_;
+    }
     return view;
 }
 
--- a/Lagoonpick/Job/AgentTable.h
+++ b/Lagoonpick/Job/AgentTable.h
@@ -2,12 +2,19 @@
 
 #include "Lagoonpick/Core/LinkId.h"
 #include "Lagoonpick/Job/TargetChoice.h"
+#include "Lagoonpick/Run/Backlog.h"
 
 #include <map>
 #include <optional>
 
 namespace Lagoonpick {
 
+/// What an entry keeps about a run that it started on an agent.
+struct SentRun {
+    Wire::Resources need_;
+    StartOrder order_;
+};
+
 /// State that an entry keeps about one incarnation of an agent and about its target.
 struct AgentRow {
     std::string name_;
@@ -33,12 +40,14 @@
     /// When `report_` arrived.
     Time reportedAt_;
     Wire::TargetReport report_;
+    /// As in `report_`.
+    Backlog backlog_ { {}, {} };
     /// Highest sequence number of a run's end received from the agent.
     std::uint64_t highestSeenEnd_ { 0 };
     /// Earliest time at which a suspect target gets another task as a probe.
     Time nextProbe_;
-    /// Runs that this entry started on the agent and whose end has not been received, with the resources they need.
-    std::map<std::uint64_t, Wire::Resources> runs_;
+    /// Runs that this entry started on the agent and whose end has not been received, by number.
+    std::map<std::uint64_t, SentRun> runs_;
 
     bool isUsable() const { return link_ && report_.isOpen_; }
 
@@ -46,8 +55,14 @@
     /// at its address, and greeted over a link that was opened after the other's. Incarnations don't tell the order of starts.
     bool isSuccessorOf(const AgentRow& other) const;
 
-    /// Reported load plus the runs that the report does not include yet.
-    TargetLoadView load() const;
+    /// Ratio of tasks' run time on the target to their expected run time.
+    double slowdown() const;
+
+    /// Resources of all tasks that run on the target, wait there or are in transit to it.
+    Wire::Resources committed() const;
+
+    /// Reported load plus the runs that the report does not include yet, as a task with this place in the order finds it.
+    TargetLoadView load(const StartOrder& order) const;
 };
 
 /// Agents that an entry has a link with, or whose link was lost less than the orphan timeout ago.
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -93,7 +93,7 @@
     agent.heartbeatSentAt_ = Time();
     recordAgentTime(agent, hello.agentTime_, now);
     log(LogLine("agent_attached").text("agent", hello.name_).number("runs", agent.runs_.size()));
-    for (const auto& [run, need] : agent.runs_) {
+    for (const auto& [run, sent] : agent.runs_) {
         // The job may have been answered while the link was down, when its stop could not be sent.
         if (!runs_.contains(run))
             send(link, Wire::StopRun { run });
@@ -179,6 +179,7 @@
         log(LogLine("target_changed").text("agent", agent.name_).flag("open", report.isOpen_).flag("suspect", report.isSuspect_).text("service", report.service_).number("slowness_permille", report.slowdownPermille_));
     agent.report_ = report;
     agent.reportedAt_ = now;
+    agent.backlog_ = Backlog(report, now);
     recordAgentTime(agent, report.agentTime_, now);
     if (!report.isOpen_)
         return;
@@ -229,7 +230,7 @@
     if (!agent.runs_.empty())
         log(LogLine("agent_forgotten").text("agent", agent.name_).text("why", why).milliseconds("silent_ms", now - agent.lastReceived_).milliseconds("confirmed_ms_ago", now - agent.confirmedAt_).milliseconds("link_lost_ms_ago", now - agent.linkLostAt_).number("runs", agent.runs_.size()));
     counters_.forgottenRuns_ += agent.runs_.size();
-    for (const auto& [run, need] : agent.runs_)
+    for (const auto& [run, sent] : agent.runs_)
         endRun(run, RunEnd::Lost, NotStartedReason::None, now);
 }
 
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -53,6 +53,11 @@
     return scale(job.work_, settings_.remoteFactor_);
 }
 
+StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent) const
+{
+    return { job.queue_.priority_, job.due_ - scale(expectedWork(job, agent), agent.slowdown()) };
+}
+
 /// Handles the load pattern of more jobs than there is capacity for: a job that would end too late is rejected while its
 /// caller can still turn elsewhere, so that it takes no capacity from jobs that can end in time.
 JobEntryCore::Admission JobEntryCore::admit(const HeldJob& job, Time now)
@@ -68,7 +73,7 @@
         // A suspect target has room because it fails what it runs; that room must not count.
         if (!canRun(job, agent) || (avoidsSuspects && agent.report_.isSuspect_))
             continue;
-        candidates.push_back({ agent.load(), expectedWork(job, agent) });
+        candidates.push_back({ agent.load(startOrder(job, agent)), expectedWork(job, agent) });
         admission.reportAge_ = std::max<Duration>(admission.reportAge_, now - agent.reportedAt_);
     }
     if (candidates.empty()) {
@@ -127,8 +132,7 @@
             continue;
         if (agent.report_.isSuspect_ && avoidsSuspects && (now < agent.nextProbe_ || task.failures_))
             continue;
-        TargetLoadView load = agent.load();
-        bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
+        bool hasSpace = hasRoom(agent.report_.capacity_, agent.committed(), job.request_.need_);
         (hasSpace ? sample.free_ : sample.full_).push_back(incarnation);
     }
     keepRandomSample(sample.free_);
@@ -146,7 +150,7 @@
     auto consider = [&](const std::vector<Incarnation>& sample) {
         for (Incarnation incarnation : sample) {
             const AgentRow& agent = agents_[incarnation];
-            TargetLoadView load = agent.load();
+            TargetLoadView load = agent.load(startOrder(job, agent));
             Duration finish = estimateCompletion(load, job.request_.need_, expectedWork(job, agent)).finish();
             double cost = static_cast<double>(finish.count());
             cost += loadWeight * cpuUtilization(load) * static_cast<double>(job.work_.count()) * spread(random_);
@@ -185,10 +189,11 @@
     task.agent_ = incarnation;
     ++task.number_;
     ++task.starts_;
-    TargetLoadView load = agent.load();
+    StartOrder order = startOrder(job, agent);
+    TargetLoadView load = agent.load(order);
     bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
     runs_[task.run_] = { key, index };
-    agent.runs_[task.run_] = job.request_.need_;
+    agent.runs_[task.run_] = { job.request_.need_, order };
     Duration work = expectedWork(job, agent);
     CompletionEstimate estimate = estimateCompletion(load, job.request_.need_, work);
     Duration run = estimate.run_;
@@ -210,6 +215,7 @@
             .workMicroseconds_ = static_cast<std::uint64_t>(work.count()),
             .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()),
             .dueInMicroseconds_ = (job.due_ - now - run).count(),
+            .priority_ = job.queue_.priority_,
             .callerTimeoutMicroseconds_ = static_cast<std::uint64_t>(std::max<Duration>(job.deadline_ - now, Duration()).count()),
             .agentTime_ = confirmAgentTime(agent) });
 }
--- a/Lagoonpick/Job/TargetChoice.h
+++ b/Lagoonpick/Job/TargetChoice.h
@@ -16,16 +16,16 @@
     Duration finish() const { return wait_ + run_; }
 };
 
-/// An entry's view of a target's load when a task is to be placed.
+/// An entry's view of a target's load when a task of some priority is to be placed.
 struct TargetLoadView {
     Wire::Resources capacity_;
     /// Resources of all tasks that run there, wait there or are in transit to it.
     Wire::Resources committed_;
     /// Ratio of a task's run time on the target to that on a reference target.
     double slowdown_ { 1 };
-    /// The part of `committed_` that the target's report does not include yet.
+    /// The part of `committed_` that the target's report does not include yet and that starts before the task.
     Wire::Resources unseen_;
-    /// Reported time that a new task would wait for room.
+    /// Reported time that the task would wait for room.
     Duration backlog_ {};
     /// Typical time of the target's recent runs; zero if none has ended yet.
     Duration typicalTime_ {};
--- a/Lagoonpick/Run/Backlog.cpp
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonpick/Run/Backlog.h"
 
+#include "Lagoonpick/Wire/RunLimits.h"
+
 #include <algorithm>
 #include <functional>
 #include <queue>
@@ -24,10 +26,10 @@
 
 } // namespace
 
-Duration expectedBacklog(const RunTable& runs, const Wire::Resources& capacity, double slowdown, Time now)
+Backlog::Backlog(const RunTable& runs, const Wire::Resources& capacity, double slowdown, Time now)
 {
-    // The time until each place becomes free, the earliest on top.
-    std::priority_queue<Duration, std::vector<Duration>, std::greater<>> places;
+    // The time until each place on the target becomes free, the earliest on top.
+    std::priority_queue<Duration, std::vector<Duration>, std::greater<>> frees;
     std::vector<const Run*> waiting;
     for (const auto& [id, run] : runs.rows()) {
         if (run.phase_ == RunPhase::Queued) {
@@ -36,18 +38,45 @@
         }
         Duration expected = scale(run.work_, slowdown);
         auto estimate = std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, minRemainingShare));
-        places.push(run.progress_.remaining(now).value_or(estimate));
+        frees.push(run.progress_.remaining(now).value_or(estimate));
     }
     std::size_t count = countPlaces(runs, capacity);
-    while (places.size() < count)
-        places.push(Duration());
-    std::sort(waiting.begin(), waiting.end(), [](const Run* left, const Run* right) { return left->due_ < right->due_; });
+    while (frees.size() < count)
+        frees.push(Duration());
+    firstWait_ = frees.top();
+    std::sort(waiting.begin(), waiting.end(), [](const Run* left, const Run* right) { return left->order_ < right->order_; });
     for (const Run* run : waiting) {
-        Duration begin = places.top();
-        places.pop();
-        places.push(begin + scale(run->work_, slowdown));
+        Duration begin = frees.top();
+        frees.pop();
+        frees.push(begin + scale(run->work_, slowdown));
+        places_.push_back({ run->order_, frees.top() });
+    }
+}
+
+Backlog::Backlog(const Wire::TargetReport& report, Time reportedAt)
+    : firstWait_(static_cast<Duration::rep>(report.backlogMicroseconds_))
+{
+    for (const auto& row : report.queuedBacklogs_)
+        places_.push_back({ { row.priority_, reportedAt + Duration(row.dueInMicroseconds_) }, Duration(static_cast<Duration::rep>(row.waitMicroseconds_)) });
+}
+
+Duration Backlog::waitOf(const StartOrder& order) const
+{
+    auto isBefore = [](const StartOrder& value, const Place& place) { return value < place.order_; };
+    auto next = std::upper_bound(places_.begin(), places_.end(), order, isBefore);
+    return next == places_.begin() ? firstWait_ : std::prev(next)->wait_;
+}
+
+std::vector<Wire::QueuedBacklog> Backlog::report(Time now) const
+{
+    std::vector<Wire::QueuedBacklog> rows;
+    std::size_t step = (places_.size() + Wire::maxQueuedBacklogs - 1) / Wire::maxQueuedBacklogs;
+    for (std::size_t last = places_.size(); last > 0; last -= std::min(step, last)) {
+        const Place& place = places_[last - 1];
+        rows.push_back({ place.order_.priority_, (place.order_.due_ - now).count(), static_cast<std::uint64_t>(place.wait_.count()) });
     }
-    return places.top();
+    std::reverse(rows.begin(), rows.end());
+    return rows;
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -232,7 +232,7 @@
     markReportsDue();
     if (runs_.findOfEntry(entry, message.run_))
         return;
-    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_, .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)), .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .due_ = now + Duration(message.dueInMicroseconds_), .deadline_ = now + Duration(static_cast<Duration::rep>(message.callerTimeoutMicroseconds_)) };
+    Run run { .entry_ = entry, .run_ = message.run_, .name_ = { message.task_, message.number_ }, .payload_ = message.payload_, .need_ = message.need_, .work_ = Duration(static_cast<Duration::rep>(message.workMicroseconds_)), .waitUntil_ = now + Duration(static_cast<Duration::rep>(message.waitMicroseconds_)), .order_ = { message.priority_, now + Duration(message.dueInMicroseconds_) }, .deadline_ = now + Duration(static_cast<Duration::rep>(message.callerTimeoutMicroseconds_)) };
     NotStartedReason reason = NotStartedReason::None;
     if (isShuttingDown_ || target_.heartbeat().isDraining_)
         reason = NotStartedReason::Draining;
@@ -244,7 +244,7 @@
         reason = NotStartedReason::StaleStartNumber;
     else if (!message.waitMicroseconds_ && !hasRoom(target_.heartbeat().capacity_, runs_.used() + runs_.queued(), message.need_)) {
         Duration tolerable = std::max<Duration>(minTolerableWait, run.work_ / tolerableWaitDivisor);
-        if (expectedBacklog(runs_, target_.heartbeat().capacity_, slowdown(now), now) > tolerable)
+        if (Backlog(runs_, target_.heartbeat().capacity_, slowdown(now), now).waitOf(run.order_) > tolerable)
             reason = NotStartedReason::NoRoom;
         run.waitUntil_ = now + tolerable * 2;
     }
@@ -360,7 +360,8 @@
     double slowdown = this->slowdown(now);
     constexpr double permille = 1000;
     const TargetHeartbeat& heartbeat = target_.heartbeat();
-    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slowdownPermille_ = static_cast<std::uint64_t>(slowdown * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(expectedBacklog(runs_, heartbeat.capacity_, slowdown, now).count()), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .agentTime_ = toAgentTime(now) };
+    Backlog backlog(runs_, heartbeat.capacity_, slowdown, now);
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slowdownPermille_ = static_cast<std::uint64_t>(slowdown * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(backlog.firstWait().count()), .queuedBacklogs_ = backlog.report(now), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .agentTime_ = toAgentTime(now) };
 }
 
 void RunAgentCore::send(LinkId link, Wire::RunMessage message)
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonpick/Run/RunProgress.h"
+#include "Lagoonpick/Run/StartOrder.h"
 #include "Lagoonpick/Run/TargetCalls.h"
 
 #include <map>
@@ -30,9 +31,8 @@
     Duration work_ {};
     /// When the run is dropped if it is still queued.
     Time waitUntil_;
-    /// Latest start with which the run is expected to end when its job is due. Among queued runs that fit, the earliest due
-    /// starts first.
-    Time due_;
+    /// Its place among queued runs.
+    StartOrder order_;
     /// When the caller stops waiting for the job.
     Time deadline_;
     RunPhase phase_ { RunPhase::Queued };
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -13,7 +13,7 @@
 namespace Lagoonpick::Wire {
 
 /// Protocol version; must be the same at both ends of a link.
-constexpr std::uint32_t runProtocolVersion = 4;
+constexpr std::uint32_t runProtocolVersion = 5;
 
 /// How a run ended.
 enum class RunEnd : std::uint8_t {
@@ -126,8 +126,10 @@
     /// within a short time.
     std::uint64_t waitMicroseconds_ { 0 };
     /// Time from sending until the latest start with which the task is expected to end when its job is due; negative if that time
-    /// is past. The agent starts queued runs in this order.
+    /// is past. The agent starts queued runs of the same priority in this order.
     std::int64_t dueInMicroseconds_ { 0 };
+    /// Priority of the job's queue; 0 comes first.
+    std::uint32_t priority_ { 0 };
     /// How long the caller still waits for the whole job, from sending.
     std::uint64_t callerTimeoutMicroseconds_ { 0 };
     /// As in an entry's `RunHeartbeat`.
@@ -169,6 +171,15 @@
     bool operator==(const RunStalled&) const = default;
 };
 
+/// How long a run is expected to wait for room that starts right after the queued runs up to this place in their order.
+struct QueuedBacklog {
+    std::uint32_t priority_ { 0 };
+    /// As `StartRun::dueInMicroseconds_`, from the sending of the report.
+    std::int64_t dueInMicroseconds_ { 0 };
+    std::uint64_t waitMicroseconds_ { 0 };
+    bool operator==(const QueuedBacklog&) const = default;
+};
+
 /// Describes an agent's target and how busy it is.
 struct TargetReport {
     /// False while the target can't start any run.
@@ -184,8 +195,10 @@
     Resources queued_;
     /// Ratio of actual to expected run time, in thousandths.
     std::uint64_t slowdownPermille_ { 1000 };
-    /// Expected time that a run arriving now would wait for room, given the runs at the agent.
+    /// Expected time that a run arriving now would wait for room if it came before all queued runs.
     std::uint64_t backlogMicroseconds_ { 0 };
+    /// The same at places in the order of the queued runs, first to last: at each of them, or at some if there are many.
+    std::vector<QueuedBacklog> queuedBacklogs_ {};
     /// Moving average of run times.
     std::uint64_t typicalMicroseconds_ { 0 };
     /// The highest run number of the receiving entry that `used_` and `queued_` take into account.
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -4,6 +4,8 @@
 #include "Lagoonpick/Wire/FrameCodec.h"
 #include "Lagoonpick/Wire/RunLimits.h"
 
+#include <algorithm>
+
 namespace Lagoonpick::Wire {
 
 namespace {
@@ -29,6 +31,14 @@
     return Field<Value, Measure<std::uint64_t>> { name, value, { 0, maxSpanMicroseconds } };
 }
 
+/// The time until the latest start of a run with which its job ends when it is due; negative if that is past.
+template <typename Value>
+auto dueIn(Value& value)
+{
+    constexpr auto maxSpan = static_cast<std::int64_t>(maxSpanMicroseconds);
+    return Field<Value, Measure<std::int64_t>> { "due_in", value, { -maxSpan, maxSpan } };
+}
+
 template <typename Value>
 auto agentTime(Value& value)
 {
@@ -68,6 +78,16 @@
     }
 };
 
+struct InStartOrder {
+    std::size_t maxCount_;
+    std::string_view findFault(const std::vector<QueuedBacklog>& values) const
+    {
+        auto order = [](const QueuedBacklog& value) { return std::pair(value.priority_, value.dueInMicroseconds_); };
+        auto isBefore = [&](const auto& left, const auto& right) { return order(left) < order(right); };
+        return std::is_sorted(values.begin(), values.end(), isBefore) ? "" : " is out of order";
+    }
+};
+
 } // namespace
 
 template <>
@@ -117,16 +137,13 @@
 
 void describe(auto& archive, MaybeConst<StartRun> auto& value)
 {
-    constexpr auto maxSpan = static_cast<std::int64_t>(maxSpanMicroseconds);
-    using DueIn = std::remove_reference_t<decltype((value.dueInMicroseconds_))>;
     using Number = std::remove_reference_t<decltype((value.number_))>;
     archive(counter("run", value.run_, 1), text("task", value.task_, 1, maxTaskNameBytes),
         Field<Number, InRange<std::uint32_t>> { "number", value.number_, { 1, std::numeric_limits<std::uint32_t>::max() } },
         text("payload", value.payload_, 0, maxPayloadBytes), text("service", value.service_, 0, maxNameBytes),
         text("required_label", value.requiredLabel_, 0, maxNameBytes), resources("need", value.need_, maxAmount),
         timeSpan("work", value.workMicroseconds_), timeSpan("wait", value.waitMicroseconds_),
-        Field<DueIn, Measure<std::int64_t>> { "due_in", value.dueInMicroseconds_, { -maxSpan, maxSpan } },
-        timeSpan("caller_timeout", value.callerTimeoutMicroseconds_), agentTime(value.agentTime_));
+        dueIn(value.dueInMicroseconds_), plain("priority", value.priority_), timeSpan("caller_timeout", value.callerTimeoutMicroseconds_), agentTime(value.agentTime_));
 }
 
 void describe(auto& archive, MaybeConst<StopRun> auto& value)
@@ -151,15 +168,23 @@
     archive(counter("run", value.run_, 1), timeSpan("remaining", value.remainingMicroseconds_));
 }
 
+void describe(auto& archive, MaybeConst<QueuedBacklog> auto& value)
+{
+    archive(plain("priority", value.priority_), dueIn(value.dueInMicroseconds_), timeSpan("wait", value.waitMicroseconds_));
+}
+
 void describe(auto& archive, MaybeConst<TargetReport> auto& value)
 {
     using Slowdown = std::remove_reference_t<decltype((value.slowdownPermille_))>;
+    using Backlogs = std::remove_reference_t<decltype((value.queuedBacklogs_))>;
     archive(plain("open", value.isOpen_), plain("suspect", value.isSuspect_), text("service", value.service_, 0, maxNameBytes),
         texts("labels", value.labels_, maxLabels, maxNameBytes), resources("capacity", value.capacity_, maxAmount),
         // Sums of amounts; adding to them saturates.
         plain("used", value.used_), plain("queued", value.queued_),
         Field<Slowdown, Measure<std::uint64_t>> { "slowdown", value.slowdownPermille_, { 0, maxSlowdownPermille } },
-        timeSpan("backlog", value.backlogMicroseconds_), timeSpan("typical", value.typicalMicroseconds_),
+        timeSpan("backlog", value.backlogMicroseconds_),
+        Field<Backlogs, InStartOrder> { "queued_backlogs", value.queuedBacklogs_, { maxQueuedBacklogs } },
+        timeSpan("typical", value.typicalMicroseconds_),
         counter("highest_seen_run", value.highestSeenRun_, 0), agentTime(value.agentTime_));
 }
 
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -110,6 +110,23 @@
     }
 }
 
+// Guards against: callers of an urgent queue were refused for a wait that only less urgent work would have had.
+TEST_CASE("The wait that a job is refused for is that of its own queue's priority")
+{
+    auto [priority, isAccepted] = GENERATE(table<std::uint32_t, bool>({ { 0, true }, { 1, true }, { 2, false }, { 3, false } }));
+    JobEntryFixture entry(1);
+    std::vector<QueueRule> rules = JobEntryFixture::makeQueues(1).rules();
+    rules.front().priority_ = priority;
+    entry.core_.setQueues(QueueTable(2, rules), "text");
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.queued_ = { 30'000, 300, 0 };
+    full.queuedBacklogs_ = { { 1, 0, 20'000 }, { 2, 0, 3'000'000 } };
+    entry.core_.receive(LinkId(1), full, entry.now_);
+    entry.submit(makeRequest("job"));
+    CHECK(entry.core_.isHeld("job") == isAccepted);
+}
+
 TEST_CASE("A target's expected wait grows with the load beyond its capacity")
 {
     struct Row {
--- a/UnitTests/Runs/RunAgentCoreTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreTest.cpp
@@ -170,6 +170,24 @@
     CHECK(agent.ends().back().reason_ == NotStartedReason::NoRoom);
 }
 
+// Guards against: a queue's priority, which its operators are promised to count, had no effect.
+TEST_CASE("Queued tasks start by the priority of their queues, and among equals by their due times")
+{
+    RunAgentFixture agent;
+    auto times = [](std::uint32_t priority) { return TaskTimes { .work_ = milliseconds(100), .priority_ = priority }; };
+    agent.startRun(1, milliseconds(100), 2000, milliseconds(100), times(0));
+    agent.startRun(2, milliseconds(100), 1000, milliseconds(10), times(2));
+    agent.startRun(3, milliseconds(100), 1000, milliseconds(90), times(1));
+    agent.startRun(4, milliseconds(100), 1000, milliseconds(80), times(1));
+    REQUIRE(agent.starts_.size() == 1);
+    agent.reply(0, CallAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    agent.advance({});
+    REQUIRE(agent.starts_.size() == 3);
+    CHECK(agent.starts_[1].name_.task_ == "job.0.0.4");
+    CHECK(agent.starts_[2].name_.task_ == "job.0.0.3");
+}
+
 TEST_CASE("A task without room is queued if a place is expected to become free within a fifth of its expected run time")
 {
     auto [workMs, isKept] = GENERATE(table<int, bool>({ { 100, false }, { 40, true } }));
--- a/UnitTests/Runs/RunAgentFixture.h
+++ b/UnitTests/Runs/RunAgentFixture.h
@@ -7,10 +7,11 @@
 /// The link between a `RunAgentFixture` and its entry, which is open from the start.
 inline constexpr LinkId link { 1 };
 
-/// The expected run time of a task, and how long its caller waits for the job.
+/// The expected run time of a task, how long its caller waits for the job, and the priority of the job's queue.
 struct TaskTimes {
     Duration work_ { std::chrono::milliseconds(1) };
     Duration callerTimeout_ { std::chrono::seconds(10) };
+    std::uint32_t priority_ { 0 };
 };
 
 /// Test fixture: an agent with one entry and one target, whose inputs and clock the test controls.
@@ -76,7 +77,7 @@
 
     void startRun(std::uint64_t run, Duration wait = std::chrono::milliseconds(100), std::uint32_t milliCores = 1000, Duration due = std::chrono::milliseconds(100), TaskTimes times = {}, Duration confirmedAgo = {})
     {
-        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .service_ = "service", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = static_cast<std::uint64_t>(times.work_.count()), .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .callerTimeoutMicroseconds_ = static_cast<std::uint64_t>(times.callerTimeout_.count()), .agentTime_ = agentTime(confirmedAgo) }, now_);
+        core_.receive(link, Wire::StartRun { .run_ = run, .task_ = "job.0.0." + std::to_string(run), .number_ = 1, .payload_ = "p", .service_ = "service", .need_ = { milliCores, 10, 0 }, .workMicroseconds_ = static_cast<std::uint64_t>(times.work_.count()), .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()), .dueInMicroseconds_ = due.count(), .priority_ = times.priority_, .callerTimeoutMicroseconds_ = static_cast<std::uint64_t>(times.callerTimeout_.count()), .agentTime_ = agentTime(confirmedAgo) }, now_);
         advance({});
     }
 
--- a/UnitTests/Runs/RunFrameEffectsTest.cpp
+++ b/UnitTests/Runs/RunFrameEffectsTest.cpp
@@ -103,7 +103,7 @@
     deliver(fixture.core_, LinkId(2), toFrame(report), fixture.now_);
     auto row = fixture.core_.agents().find(Incarnation(2));
     REQUIRE(row != fixture.core_.agents().end());
-    CHECK_FALSE(hasRoom(report.capacity_, row->second.load().committed_, { 1000, 10, 0 }));
+    CHECK_FALSE(hasRoom(report.capacity_, row->second.load({}).committed_, { 1000, 10, 0 }));
     CHECK(scale(milliseconds(50), 1e30) > std::chrono::hours(1));
     CHECK(scale(milliseconds(50), -1e30) < Duration());
 }
--- a/UnitTests/Runs/RunFrameTest.cpp
+++ b/UnitTests/Runs/RunFrameTest.cpp
@@ -95,8 +95,9 @@
         number("wait", start, 10, year, top),
         number("due_in", start, 11, zigzag(year, false), zigzag(year + 1, false)),
         number("due_in", start, 11, zigzag(year, true), top),
-        number("caller_timeout", start, 12, year, top),
-        number("agent_time", start, 13, latest, top),
+        number("priority", start, 12, 0xffffffff, 0x100000000),
+        number("caller_timeout", start, 13, year, top),
+        number("agent_time", start, 14, latest, top),
         number("run", Wire::StopRun { 1 }, 0, 1, 0),
         number("run", Wire::QueryRun { 1 }, 0, counter, top),
         number("sequence", ended, 0, 1, 0),
@@ -117,9 +118,14 @@
         number("queued", report, 14, 0xffffffff, 0x100000000),
         number("slowdown", report, 15, amount, top),
         number("backlog", report, 16, year, top),
-        number("typical", report, 17, year, top),
-        number("highest_seen_run", report, 18, counter, top),
-        number("agent_time", report, 19, latest, top),
+        number("queued_backlogs", report, 18, 1, 0x100000000),
+        number("queued_backlogs", report, 19, zigzag(year, true), top),
+        number("queued_backlogs", report, 20, year, top),
+        // After the place that follows it.
+        number("queued_backlogs", report, 18, 2, 3),
+        number("typical", report, 24, year, top),
+        number("highest_seen_run", report, 25, counter, top),
+        number("agent_time", report, 26, latest, top),
     };
     for (const auto& row : rows) {
         CAPTURE(row.field_, row.message_.index(), row.item_);
@@ -144,6 +150,13 @@
     CHECK(isDecoded(toFrame(report)));
     report.labels_.assign(65, "label");
     CHECK_FALSE(isDecoded(toFrame(report)));
+    report = exampleOf<Wire::TargetReport>();
+    report.queuedBacklogs_.clear();
+    for (std::uint32_t priority = 0; priority < 16; ++priority)
+        report.queuedBacklogs_.push_back({ priority, 0, 1 });
+    CHECK(isDecoded(toFrame(report)));
+    report.queuedBacklogs_.push_back({ 16, 0, 1 });
+    CHECK_FALSE(isDecoded(toFrame(report)));
     CHECK(isDecoded(toFrame(Wire::EntryAddresses { std::vector<std::string>(1024, "10.0.0.1:1") })));
     CHECK_FALSE(isDecoded(toFrame(Wire::EntryAddresses { std::vector<std::string>(1025, "10.0.0.1:1") })));
 }
@@ -159,6 +172,7 @@
     auto report = exampleOf<Wire::TargetReport>();
     report.capacity_ = report.used_ = report.queued_ = { 0xffffffff, 0xffffffff, 0xffffffff };
     report.slowdownPermille_ = report.backlogMicroseconds_ = report.typicalMicroseconds_ = top;
+    report.queuedBacklogs_ = { { 0, std::numeric_limits<std::int64_t>::min(), top } };
     auto ended = exampleOf<Wire::RunEnded>();
     ended.durationMicroseconds_ = top;
     const std::vector<Wire::RunMessage> messages { start, report, ended, Wire::RunStalled { 1, top } };
--- a/UnitTests/Runs/RunMessageExamples.h
+++ b/UnitTests/Runs/RunMessageExamples.h
@@ -14,12 +14,12 @@
         Wire::ConfigurationRequest { 8 },
         Wire::ConfigurationCopy { 9, "text" },
         Wire::EntryAddresses { { "10.0.0.1:1", "10.0.0.2:1" } },
-        Wire::StartRun { 1, "job.0.0.1", 2, "payload", "service", "label", { 1, 2, 3 }, 4, 5, -6, 7, 8 },
+        Wire::StartRun { 1, "job.0.0.1", 2, "payload", "service", "label", { 1, 2, 3 }, 4, 5, -6, 9, 7, 8 },
         Wire::StopRun { 1 },
         Wire::QueryRun { 2 },
         Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
         Wire::RunStalled { 4, 700'000 },
-        Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 4, 5, 6, 7 },
+        Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 4, { { 0, -5, 5 }, { 2, 6, 7 } }, 5, 6, 7 },
     };
 }
 
--- a/UnitTests/Runs/RunPartsTest.cpp
+++ b/UnitTests/Runs/RunPartsTest.cpp
@@ -3,7 +3,9 @@
 #include "Lagoonpick/Run/LeaseTiming.h"
 #include "Lagoonpick/Run/RunProgress.h"
 #include "Lagoonpick/Run/TargetMonitor.h"
+#include "Lagoonpick/Wire/RunLimits.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace Lagoonpick {
@@ -100,7 +102,62 @@
     RunTable runs;
     for (int i = 0; i < row.running_ + row.waiting_; ++i)
         runs.add({ .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .phase_ = i < row.running_ ? RunPhase::Running : RunPhase::Queued, .startSentAt_ = now - milliseconds(100) });
-    CHECK(expectedBacklog(runs, { 2000, 100, 0 }, 2, now) == milliseconds(row.backlogMs_));
+    CHECK(Backlog(runs, { 2000, 100, 0 }, 2, now).waitOf({ 0, now }) == milliseconds(row.backlogMs_));
+}
+
+// Guards against: callers were refused for a wait that only less urgent work would have had.
+TEST_CASE("Only what starts before a task counts to the backlog that it finds")
+{
+    struct Queued {
+        std::uint32_t priority_;
+        int dueInMs_;
+    };
+    struct Row {
+        std::vector<Queued> queued_;
+        Queued task_;
+        int waitMs_;
+    };
+    // One place, free in 100 ms; each run takes 100 ms.
+    auto row = GENERATE(values<Row>({
+        { {}, { 0, 0 }, 100 },
+        { { { 1, 50 } }, { 0, 500 }, 100 },
+        { { { 1, 50 } }, { 1, 40 }, 100 },
+        { { { 1, 50 } }, { 1, 60 }, 200 },
+        { { { 1, 50 } }, { 2, 0 }, 200 },
+        { { { 2, 50 }, { 1, 70 }, { 2, 10 } }, { 1, 100 }, 200 },
+        { { { 2, 50 }, { 1, 70 }, { 2, 10 } }, { 2, 0 }, 200 },
+        { { { 2, 50 }, { 1, 70 }, { 2, 10 } }, { 2, 20 }, 300 },
+        { { { 2, 50 }, { 1, 70 }, { 2, 10 } }, { 2, 90 }, 400 },
+    }));
+    Time now { std::chrono::hours(1) };
+    RunTable runs;
+    runs.add({ .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .phase_ = RunPhase::Running, .startSentAt_ = now });
+    for (const auto& queued : row.queued_)
+        runs.add({ .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .order_ = { queued.priority_, now + milliseconds(queued.dueInMs_) } });
+    const StartOrder task { row.task_.priority_, now + milliseconds(row.task_.dueInMs_) };
+    Backlog backlog(runs, { 1000, 100, 0 }, 1, now);
+    CHECK(backlog.waitOf(task) == milliseconds(row.waitMs_));
+    const Wire::TargetReport report { .backlogMicroseconds_ = static_cast<std::uint64_t>(backlog.firstWait().count()), .queuedBacklogs_ = backlog.report(now) };
+    CHECK(Backlog(report, now).waitOf(task) == milliseconds(row.waitMs_));
+}
+
+TEST_CASE("A report gives the backlog at a bounded number of places, the last one among them, to within a sixteenth of the longest wait")
+{
+    auto count = GENERATE(values<int>({ 1, 15, 16, 17, 100 }));
+    Time now { std::chrono::hours(1) };
+    RunTable runs;
+    for (int i = 0; i < count; ++i)
+        runs.add({ .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .order_ = { 0, now + milliseconds(i) } });
+    Backlog backlog(runs, { 1000, 100, 0 }, 1, now);
+    auto rows = backlog.report(now);
+    CHECK(rows.size() <= Wire::maxQueuedBacklogs);
+    CHECK(rows.back().waitMicroseconds_ == static_cast<std::uint64_t>(count) * 100'000);
+    Backlog reported({ .queuedBacklogs_ = rows }, now);
+    for (int i = 0; i < count; ++i) {
+        const StartOrder order { 0, now + milliseconds(i) };
+        CHECK(reported.waitOf(order) <= backlog.waitOf(order));
+        CHECK(backlog.waitOf(order) - reported.waitOf(order) <= milliseconds(100) * count / 16);
+    }
 }
 
 TEST_CASE("The derived lease and timeouts prevent overlapping runs for all limits of the platform")
