A job is refused if it is not expected to end while its caller waits, not if it would end a tenth after its due time

What callers saw: a job that would have ended a little after its due time was refused, though its caller waits for up to nine times as long for the answer. Change: the limit is the caller's time, less the answer's way. What that does to others is bounded by the order in which tasks start.

--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Limit on a job's expected time, as a multiple of the time until it is due. A job beyond it is rejected: it would be late and
-/// make others late.
-constexpr double maxLatenessFactor = 1.1;
 /// Shortest time that a task may wait for room, so that two entries that chose the same target don't both have to place anew.
 constexpr Duration minWait = std::chrono::milliseconds(100);
 /// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait.
@@ -58,8 +55,9 @@
     return { job.queue_.priority_, job.due_ - scale(expectedWork(job, agent), agent.slowdown()) };
 }
 
-/// Handles the load pattern of more jobs than there is capacity for: a job that would end too late is rejected while its
-/// caller can still turn elsewhere, so that it takes no capacity from jobs that can end in time.
+/// Handles the load pattern of more jobs than there is capacity for: a job that is not expected to end while its caller waits is
+/// rejected at once, so that the caller can turn elsewhere and the job takes no capacity from those that can be done. A job that
+/// would end after its due time is accepted: its caller still waits for the answer.
 JobEntryCore::Admission JobEntryCore::admit(const HeldJob& job, Time now)
 {
     struct Candidate {
@@ -94,7 +92,7 @@
         best->load_.unseen_ = best->load_.unseen_ + job.request_.need_;
         admission.expectedFinish_ = std::max(admission.expectedFinish_, earliest);
     }
-    admission.finishLimit_ = std::min<Duration>(scale(job.due_ - now, maxLatenessFactor), job.deadline_ - now);
+    admission.finishLimit_ = job.deadline_ - now;
     if (admission.expectedFinish_ > admission.finishLimit_)
         admission.failureReason_ = JobFailureReason::Overloaded;
     return admission;
--- a/Lagoonpick/Job/JobRequest.h
+++ b/Lagoonpick/Job/JobRequest.h
@@ -68,7 +68,7 @@
     None,
     NoConfiguration,
     NoTargets,
-    /// The job would end too late, or the entry holds too many jobs.
+    /// The job is not expected to end while its caller waits, or the entry holds too many jobs.
     Overloaded,
     TooLarge,
     ShuttingDown,
