A waiting task that can't end any more when it is due makes way for those that can, until its caller's time runs out

Cause: earliest due first, also when the due time is past: such a task had the least time left by that measure. Its caller has more. Change: orderAt: past its due time a task's place follows from when its caller leaves. Entries reckon with it (startOrder). Test: 'A queued task that can't end when it is due makes way ...'.

--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -122,7 +122,7 @@
     /// Expected run time of a task at a slowdown of 1, with the penalty for a target on another rack than the job's data.
     Duration expectedWork(const HeldJob& job, const AgentRow& agent) const;
     /// The place of the job's tasks among those that wait on an agent's target.
-    StartOrder startOrder(const HeldJob& job, const AgentRow& agent) const;
+    StartOrder startOrder(const HeldJob& job, const AgentRow& agent, Time now) const;
     /// True if suspect targets, which fail what they run, are to be avoided.
     bool mustAvoidSuspects() const;
     /// The decision whether to accept a job, with the figures that it is based on.
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -50,9 +50,14 @@
     return scale(job.work_, settings_.remoteFactor_);
 }
 
-StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent) const
+StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent, Time now) const
 {
-    return { job.queue_.priority_, job.due_ - scale(expectedWork(job, agent), agent.slowdown()) };
+    Duration run = scale(expectedWork(job, agent), agent.slowdown());
+    StartOrder order { job.queue_.priority_, job.due_ - run };
+    // By the time that it could start, it would have made way for those that can still end when they are due.
+    if (order.due_ < now || agent.backlog_.waitOf(order) > order.due_ - now)
+        order.due_ = std::max(order.due_, job.deadline_ - run);
+    return order;
 }
 
 /// Handles the load pattern of more jobs than there is capacity for: a job that is not expected to end while its caller waits is
@@ -71,7 +76,7 @@
         // A suspect target has room because it fails what it runs; that room must not count.
         if (!canRun(job, agent) || (avoidsSuspects && agent.report_.isSuspect_))
             continue;
-        candidates.push_back({ agent.load(startOrder(job, agent)), expectedWork(job, agent) });
+        candidates.push_back({ agent.load(startOrder(job, agent, now)), expectedWork(job, agent) });
         admission.reportAge_ = std::max<Duration>(admission.reportAge_, now - agent.reportedAt_);
     }
     if (candidates.empty()) {
@@ -148,7 +153,7 @@
     auto consider = [&](const std::vector<Incarnation>& sample) {
         for (Incarnation incarnation : sample) {
             const AgentRow& agent = agents_[incarnation];
-            TargetLoadView load = agent.load(startOrder(job, agent));
+            TargetLoadView load = agent.load(startOrder(job, agent, now));
             Duration finish = estimateCompletion(load, job.request_.need_, expectedWork(job, agent)).finish();
             double cost = static_cast<double>(finish.count());
             cost += loadWeight * cpuUtilization(load) * static_cast<double>(job.work_.count()) * spread(random_);
@@ -187,7 +192,7 @@
     task.agent_ = incarnation;
     ++task.number_;
     ++task.starts_;
-    StartOrder order = startOrder(job, agent);
+    StartOrder order = startOrder(job, agent, now);
     TargetLoadView load = agent.load(order);
     bool hasSpace = hasRoom(load.capacity_, load.committed_, job.request_.need_);
     runs_[task.run_] = { key, index };
--- a/Lagoonpick/Run/Backlog.cpp
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -44,12 +44,12 @@
     while (frees.size() < count)
         frees.push(Duration());
     firstWait_ = frees.top();
-    std::sort(waiting.begin(), waiting.end(), [](const Run* left, const Run* right) { return left->order_ < right->order_; });
+    std::sort(waiting.begin(), waiting.end(), [now](const Run* left, const Run* right) { return orderAt(*left, now) < orderAt(*right, now); });
     for (const Run* run : waiting) {
         Duration begin = frees.top();
         frees.pop();
         frees.push(begin + scale(run->work_, slowdown));
-        places_.push_back({ run->order_, frees.top() });
+        places_.push_back({ orderAt(*run, now), frees.top() });
     }
 }
 
--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -75,7 +75,7 @@
     for (const auto& [id, run] : runs_.rows()) {
         if (run.phase_ != RunPhase::Queued || !hasRoom(capacity, used, run.need_) || !mayStart(run.entry_, now))
             continue;
-        if (!bestRun || run.order_ < bestRun->order_) {
+        if (!bestRun || orderAt(run, now) < orderAt(*bestRun, now)) {
             best = id;
             bestRun = &run;
         }
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -244,7 +244,7 @@
         reason = NotStartedReason::StaleStartNumber;
     else if (!message.waitMicroseconds_ && !hasRoom(target_.heartbeat().capacity_, runs_.used() + runs_.queued(), message.need_)) {
         Duration tolerable = std::max<Duration>(minTolerableWait, run.work_ / tolerableWaitDivisor);
-        if (Backlog(runs_, target_.heartbeat().capacity_, slowdown(now), now).waitOf(run.order_) > tolerable)
+        if (Backlog(runs_, target_.heartbeat().capacity_, slowdown(now), now).waitOf(orderAt(run, now)) > tolerable)
             reason = NotStartedReason::NoRoom;
         run.waitUntil_ = now + tolerable * 2;
     }
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -60,6 +60,15 @@
     Wire::NotStartedReason reason_ { Wire::NotStartedReason::None };
 };
 
+/// The run's place among queued runs at `now`. One that can no longer end when its job is due still has its caller's time: it makes way
+/// for those that can keep both.
+inline StartOrder orderAt(const Run& run, Time now)
+{
+    if (run.order_.due_ >= now)
+        return run.order_;
+    return { run.order_.priority_, std::max(run.deadline_ - run.work_, run.order_.due_) };
+}
+
 /// The runs of an agent and the resources that they need.
 ///
 /// Not thread-safe.
--- a/UnitTests/Runs/RunAgentCoreTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreTest.cpp
@@ -188,6 +188,23 @@
     CHECK(agent.starts_[2].name_.task_ == "job.0.0.3");
 }
 
+// Guards against: jobs that were late already kept those from starting that could still end when they were due.
+TEST_CASE("A queued task that can't end when it is due makes way for those that can, until its caller's time runs out")
+{
+    // The late task takes 100 ms, and its caller waits this long.
+    auto [callerTimeoutMs, first] = GENERATE(table<int, std::string>({ { 1000, "job.0.0.3" }, { 130, "job.0.0.2" } }));
+    RunAgentFixture agent;
+    agent.startRun(1, milliseconds(100), 2000, milliseconds(100), { milliseconds(100) });
+    agent.startRun(2, milliseconds(100), 2000, milliseconds(-10), { milliseconds(100), milliseconds(callerTimeoutMs) });
+    agent.startRun(3, milliseconds(100), 2000, milliseconds(60), { milliseconds(100) });
+    REQUIRE(agent.starts_.size() == 1);
+    agent.reply(0, CallAnswer::Accepted);
+    agent.answerLease({ .running_ = {}, .ended_ = { { 1, { "job.0.0.1", 1 }, RunEnd::Done } } });
+    agent.advance({});
+    REQUIRE(agent.starts_.size() == 2);
+    CHECK(agent.starts_[1].name_.task_ == first);
+}
+
 TEST_CASE("A task without room is queued if a place is expected to become free within a fifth of its expected run time")
 {
     auto [workMs, isKept] = GENERATE(table<int, bool>({ { 100, false }, { 40, true } }));
