Callers are told to come back when their job is expected to be accepted

What callers saw: Retry-After of one or two seconds at random, whatever kept the job from running: too early for a long backlog, and for a job with too many tasks, which is never accepted, a time as well. Change: for lack of room, the time by which the expected end exceeds the caller's time, at least a second, as the header counts them; for a job that was refused after a wait, the same by the present backlog; a second where another entry may take the job at once; none for a job that is never accepted. Those refused in one second come back in one second, as they came. The log line has retry_after_ms.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -18,6 +18,7 @@
 /// Added to a task's start number that the target rejected as too low; likely to exceed the number that any earlier holder of
 /// the same job reached.
 constexpr std::uint32_t startNumberStep = 8;
+/// The smallest step in which callers are told when to come back.
 constexpr Duration minRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t maxKeptAnswers = 20'000;
 
@@ -65,12 +66,12 @@
     auto queueExists = hasQueue(request.host_, request.path_, now);
     if (!queueExists.value_or(true)) {
         log(LogLine("job_rejected").text("job", request.id_).text("why", "no_such_queue").number("configuration", queues_.version()).milliseconds("confirmed_ms_ago", now - configurationConfirmedAt_));
-        answerCaller(caller, JobOutcome::NoSuchQueue, JobFailureReason::None);
+        answerCaller(caller, JobOutcome::NoSuchQueue, JobFailureReason::None, {});
         return;
     }
     auto kept = answers_.find(request.id_);
     if (kept != answers_.end()) {
-        answerCaller(caller, kept->second.jobOutcome_, JobFailureReason::None);
+        answerCaller(caller, kept->second.jobOutcome_, JobFailureReason::None, {});
         return;
     }
     auto held = jobsById_.find(request.id_);
@@ -238,20 +239,38 @@
         ++counters_.rejected_;
         break;
     }
+    Duration comeBackAfter = outcome == JobOutcome::Rejected ? retryAfterWait(job, now) : Duration();
     for (CallerId caller : job.callers_) {
         jobsByCaller_.erase(toUnderlying(caller));
-        answerCaller(caller, outcome, failureReason);
+        answerCaller(caller, outcome, failureReason, comeBackAfter);
     }
 }
 
-void JobEntryCore::answerCaller(CallerId caller, JobOutcome outcome, JobFailureReason failureReason)
+void JobEntryCore::answerCaller(CallerId caller, JobOutcome outcome, JobFailureReason failureReason, Duration retryAfter)
 {
-    Duration retryAfter {};
-    if (outcome == JobOutcome::Rejected)
-        retryAfter = minRetryAfter + std::chrono::seconds(random_() % 2);
     effects_.answers_.push_back({ caller, outcome, failureReason, retryAfter });
 }
 
+Duration JobEntryCore::retryAfter(const Admission& admission)
+{
+    switch (admission.failureReason_) {
+    case JobFailureReason::TooLarge:
+    case JobFailureReason::Unsupported:
+        return {};
+    case JobFailureReason::Overloaded:
+        return std::max<Duration>(admission.expectedFinish_ - admission.finishLimit_, minRetryAfter);
+    default:
+        // Another entry may take the job at once.
+        return minRetryAfter;
+    }
+}
+
+Duration JobEntryCore::retryAfterWait(HeldJob job, Time now)
+{
+    job.deadline_ = now + job.request_.callerTimeout_ - settings_.answerMargin_;
+    return std::max(retryAfter(admit(job, now)), minRetryAfter);
+}
+
 void JobEntryCore::reject(CallerId caller, const JobRequest& request, const Admission& admission)
 {
     ++counters_.rejected_;
@@ -260,8 +279,9 @@
     line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
     if (admission.failureReason_ == JobFailureReason::Overloaded && admission.finishLimit_.count())
         line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
-    log(std::move(line));
-    answerCaller(caller, JobOutcome::Rejected, admission.failureReason_);
+    Duration comeBackAfter = retryAfter(admission);
+    log(std::move(line.milliseconds("retry_after_ms", comeBackAfter)));
+    answerCaller(caller, JobOutcome::Rejected, admission.failureReason_, comeBackAfter);
 }
 
 void JobEntryCore::callerDisconnected(CallerId caller, Time now)
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -161,7 +161,12 @@
     /// Answers a recalled job unless it must wait longer for proof that no task has begun.
     void finishRecall(JobKey key, Time now);
     void answer(JobKey key, JobOutcome outcome, JobFailureReason failureReason, Time now);
-    void answerCaller(CallerId caller, JobOutcome outcome, JobFailureReason failureReason);
+    void answerCaller(CallerId caller, JobOutcome outcome, JobFailureReason failureReason, Duration retryAfter);
+    /// When the caller of a job that was rejected on arrival should come back: for lack of room, when the job is expected to be
+    /// accepted, because so much of the work before it will have ended. Zero if that would be of no use.
+    static Duration retryAfter(const Admission& admission);
+    /// The same for a job that was rejected after it had waited.
+    Duration retryAfterWait(HeldJob job, Time now);
     void reject(CallerId caller, const JobRequest& request, const Admission& admission);
     void checkJobs(Time now);
     void checkAgents(Time now);
--- a/Lagoonpick/Job/JobRequest.h
+++ b/Lagoonpick/Job/JobRequest.h
@@ -82,7 +82,7 @@
     CallerId caller_ {};
     JobOutcome jobOutcome_ { JobOutcome::Rejected };
     JobFailureReason failureReason_ { JobFailureReason::None };
-    /// How long the caller should wait before it tries again; zero if unknown.
+    /// How long the caller should wait before it tries again; zero if the answer is final or trying again is of no use.
     Duration retryAfter_ {};
     bool operator==(const JobAnswer&) const = default;
 };
