How far declared times are believed, and how short a task may turn out, is learnt from the queue's ended jobs

Change: WorkModel learns by regression how far the actual times followed the declared ones, and how much they differ from what was expected; before jobs have ended the declared time stands. A job that has begun is given up when two standard deviations less than the expected time would be too long (shortestWork_), in place of half of it.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -92,7 +92,9 @@
         return reject(caller, request, { JobFailureReason::TooLarge });
 
     HeldJob job { .request_ = request, .queue_ = *queues_.find(request.host_, request.path_), .callers_ = { caller }, .arrivedAt_ = now };
-    job.work_ = workModel_.recordAndEstimate(job.queue_.name_, request.estimate_);
+    WorkEstimate work = workModel_.recordAndEstimate(job.queue_.name_, request.estimate_);
+    job.work_ = work.expected_;
+    job.shortestWork_ = work.shortest_;
     Duration objective = scale(job.work_, job.queue_.slackFactor_) + job.queue_.allowance_;
     job.due_ = now + objective - settings_.overhead_;
     job.deadline_ = now + request.callerTimeout_ - settings_.answerMargin_;
@@ -110,7 +112,7 @@
         place(key, stored, task, now);
 }
 
-void JobEntryCore::endRun(std::uint64_t run, RunEnd end, NotStartedReason reason, Time now)
+void JobEntryCore::endRun(std::uint64_t run, RunEnd end, NotStartedReason reason, Duration took, Time now)
 {
     auto found = runs_.find(run);
     if (found == runs_.end())
@@ -120,9 +122,11 @@
     HeldJob& job = jobs_[ref.job_];
     JobTask& task = job.tasks_[ref.task_];
     std::string agentName;
+    Duration work = took;
     if (auto agent = agents_.find(task.agent_); agent != agents_.end()) {
         agent->second.runs_.erase(run);
         agentName = agent->second.name_;
+        work = workOf(took, job, agent->second);
     }
     task.run_ = 0;
     task.isMoving_ = false;
@@ -131,8 +135,11 @@
     if (end == RunEnd::Done) {
         task.isDone_ = true;
         ++job.doneCount_;
-        if (job.doneCount_ == job.tasks_.size())
-            answer(ref.job_, JobOutcome::Done, JobFailureReason::None, now);
+        job.doneWork_ += work;
+        if (job.doneCount_ < job.tasks_.size())
+            return;
+        workModel_.recordActual(job.queue_.name_, job.request_.estimate_, job.doneWork_ / static_cast<Duration::rep>(job.doneCount_));
+        answer(ref.job_, JobOutcome::Done, JobFailureReason::None, now);
         return;
     }
     if (job.isRecalled_) {
@@ -164,7 +171,7 @@
     HeldJob& job = jobs_[key];
     if (job.tasks_[task].starts_ >= job.queue_.maxAttempts_ + maxExtraStarts)
         return recall(key, JobFailureReason::TargetsFailed, now);
-    if (now + job.work_ / 2 > job.deadline_)
+    if (now + job.shortestWork_ > job.deadline_)
         return recall(key, JobFailureReason::Deadline, now);
     place(key, job, task, now);
 }
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -121,6 +121,10 @@
     bool canRun(const HeldJob& job, const AgentRow& agent) const;
     /// Expected run time of a task at a slowdown of 1, with the penalty for a target on another rack than the job's data.
     Duration expectedWork(const HeldJob& job, const AgentRow& agent) const;
+    /// The run time at a slowdown of 1, on a target on the rack of the job's data, of a task that took this long on an agent's target.
+    Duration workOf(Duration took, const HeldJob& job, const AgentRow& agent) const;
+    /// The earliest that a task is to be reckoned to end whose expected time to the end is `finish`.
+    static Duration shortestFinish(Duration finish, const HeldJob& job);
     /// The place of the job's tasks among those that wait on an agent's target.
     StartOrder startOrder(const HeldJob& job, const AgentRow& agent, Time now) const;
     /// True if suspect targets, which fail what they run, are to be avoided.
@@ -152,7 +156,8 @@
     };
     Placement chooseAgent(const HeldJob& job, const JobTask& task, Time now);
     void startRun(Incarnation agent, JobKey key, HeldJob& job, std::uint32_t task, Time now);
-    void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Time now);
+    /// `took` is the time from the start at the target to the end.
+    void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Duration took, Time now);
     /// Places a task again, or recalls its job if the deadline is too near or the task was started too often.
     void retry(JobKey key, std::uint32_t task, Time now);
     /// Stops a job's runs and starts no more of its tasks. `finishRecall` answers the job.
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -16,9 +16,6 @@
 /// Factor on a stalled run's remaining time. The progress rate of a run is known to within about a tenth; a move must gain
 /// more than that because it discards work.
 constexpr double minRemainingFactor = 0.8;
-/// Factor on the expected finish on another target. Expected times are off by nearly half, so a job is given up only if half
-/// the expected time is too long.
-constexpr double minExpectedFactor = 0.5;
 
 } // namespace
 
@@ -138,7 +135,7 @@
     agent.highestSeenEnd_ = std::max(agent.highestSeenEnd_, ended.sequence_);
     // Applies also when the job was answered before: the run's resources on the target are free now.
     agent.runs_.erase(ended.run_);
-    endRun(ended.run_, ended.end_, ended.reason_, now);
+    endRun(ended.run_, ended.end_, ended.reason_, Duration(static_cast<Duration::rep>(ended.durationMicroseconds_)), now);
 }
 
 /// Handles the load pattern of targets that become slow or hang while they run tasks: a run that would end much later than a
@@ -159,7 +156,7 @@
     Duration remaining = scale(Duration(static_cast<Duration::rep>(stalled.remainingMicroseconds_)), minRemainingFactor);
     bool hasOtherAgent = elsewhere.agent_.isValid() && elsewhere.agent_ != task.agent_;
     Duration timeLeft = job.deadline_ - now;
-    if (remaining > timeLeft && (!hasOtherAgent || scale(elsewhere.finish_, minExpectedFactor) > timeLeft)) {
+    if (remaining > timeLeft && (!hasOtherAgent || shortestFinish(elsewhere.finish_, job) > timeLeft)) {
         recall(ref.job_, JobFailureReason::Deadline, now);
         return;
     }
@@ -231,7 +228,7 @@
         log(LogLine("agent_forgotten").text("agent", agent.name_).text("why", why).milliseconds("silent_ms", now - agent.lastReceived_).milliseconds("confirmed_ms_ago", now - agent.confirmedAt_).milliseconds("link_lost_ms_ago", now - agent.linkLostAt_).number("runs", agent.runs_.size()));
     counters_.forgottenRuns_ += agent.runs_.size();
     for (const auto& [run, sent] : agent.runs_)
-        endRun(run, RunEnd::Lost, NotStartedReason::None, now);
+        endRun(run, RunEnd::Lost, NotStartedReason::None, {}, now);
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -50,6 +50,18 @@
     return scale(job.work_, settings_.remoteFactor_);
 }
 
+Duration JobEntryCore::workOf(Duration took, const HeldJob& job, const AgentRow& agent) const
+{
+    double onTarget = static_cast<double>(scale(expectedWork(job, agent), agent.slowdown()).count());
+    return onTarget > 0 ? scale(took, static_cast<double>(job.work_.count()) / onTarget) : took;
+}
+
+Duration JobEntryCore::shortestFinish(Duration finish, const HeldJob& job)
+{
+    double expected = static_cast<double>(job.work_.count());
+    return expected > 0 ? scale(finish, static_cast<double>(job.shortestWork_.count()) / expected) : finish;
+}
+
 StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent, Time now) const
 {
     Duration run = scale(expectedWork(job, agent), agent.slowdown());
--- a/Lagoonpick/Job/JobRequest.h
+++ b/Lagoonpick/Job/JobRequest.h
@@ -27,7 +27,7 @@
     std::string requiredLabel_;
     /// Label of the rack that holds the job's data; empty if the rack does not matter.
     std::string rack_;
-    /// Run time of a task as declared by the caller; typically off by nearly half.
+    /// Run time of a task as declared by the caller; a rough estimate.
     Duration estimate_ {};
     /// How long the caller waits for the answer to its request.
     Duration callerTimeout_ {};
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -47,6 +47,10 @@
     Time deadline_;
     /// Expected run time of a task at a slowdown of 1.
     Duration work_ {};
+    /// A task hardly ever takes less.
+    Duration shortestWork_ {};
+    /// Sum of the actual run times of its tasks that are done, each as on a target of slowdown 1.
+    Duration doneWork_ {};
     std::vector<JobTask> tasks_;
     std::uint32_t doneCount_ { 0 };
     /// True once a run has ended that began or may have begun.
--- a/UnitTests/Runs/JobEntryFixture.h
+++ b/UnitTests/Runs/JobEntryFixture.h
@@ -57,9 +57,9 @@
         collect();
     }
 
-    void end(std::size_t start, Wire::RunEnd runEnd, Wire::NotStartedReason reason = Wire::NotStartedReason::None)
+    void end(std::size_t start, Wire::RunEnd runEnd, Wire::NotStartedReason reason = Wire::NotStartedReason::None, Duration took = {})
     {
-        core_.receive(starts_.at(start).first, Wire::RunEnded { .sequence_ = ++sequence_, .run_ = starts_.at(start).second.run_, .end_ = runEnd, .reason_ = reason }, now_);
+        core_.receive(starts_.at(start).first, Wire::RunEnded { .sequence_ = ++sequence_, .run_ = starts_.at(start).second.run_, .end_ = runEnd, .reason_ = reason, .durationMicroseconds_ = static_cast<std::uint64_t>(took.count()) }, now_);
         collect();
     }
 
