Jobs that can't be done any more are answered then, and waits follow from the caller's time

What callers saw: a job whose tasks came back for lack of room was placed again and again until its time was over, then answered; a recalled one could be answered 60 ms after its caller had left; a task could wait for room longer than its caller waits; a task went back to the target where it had failed, if that was the faster one. Cause: retry looked at the run time only, not at the wait; recallTimeout_ counted from the deadline on; minWait came after the caller's limit; 'avoided' cost four times the work, a figure without a reason. Change: a job is answered when not even the shortest expected finish anywhere is within its caller's time; a recall ends half the answer's margin after the deadline at the latest; a task waits no longer than it can still end, and at least as long as the report that the expectation rests on may be old (heartbeatInterval_); a task goes where it has not failed yet, while there is such a target, for its attempts are limited. Tests: 'A job that can't end any more while its caller waits is answered at once', 'A task waits at a target for at most ...', 'A task that failed goes to another target ...'; 'A job that reaches its deadline is given up in time' now asks for the answer at 1,480 of 1,500 ms, where it allowed 1,600.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -171,9 +171,13 @@
     HeldJob& job = jobs_[key];
     if (job.tasks_[task].starts_ >= job.queue_.maxAttempts_ + maxExtraStarts)
         return recall(key, JobFailureReason::TargetsFailed, now);
-    if (now + job.shortestWork_ > job.deadline_)
+    // A job that can't end any more while its caller waits is answered at once.
+    Placement placement = chooseAgent(job, job.tasks_[task], now);
+    Duration finish = placement.agent_.isValid() ? placement.finish_ : job.work_;
+    if (now + shortestFinish(finish, job) > job.deadline_)
         return recall(key, JobFailureReason::Deadline, now);
-    place(key, job, task, now);
+    if (placement.agent_.isValid())
+        startRun(placement.agent_, key, job, task, now);
 }
 
 void JobEntryCore::recall(JobKey key, JobFailureReason failureReason, Time now)
@@ -202,7 +206,8 @@
     HeldJob& job = jobs_[key];
     bool hasRuns = std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const auto& task) { return task.run_ != 0; });
     // Once any task has begun, the outcome is fixed. Otherwise the answer waits for proof that no task has begun.
-    bool mustWait = hasRuns && !job.hasBegun_ && now - job.recalledAt_ < settings_.recallTimeout_;
+    Duration timeout = std::min<Duration>(settings_.recallTimeout_, job.deadline_ + settings_.answerMargin_ / 2 - job.recalledAt_);
+    bool mustWait = hasRuns && !job.hasBegun_ && now - job.recalledAt_ < timeout;
     if (mustWait)
         return;
     bool neverBegan = !hasRuns && !job.hasBegun_;
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -158,7 +158,7 @@
     void startRun(Incarnation agent, JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// `took` is the time from the start at the target to the end.
     void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Duration took, Time now);
-    /// Places a task again, or recalls its job if the deadline is too near or the task was started too often.
+    /// Places a task again, or recalls its job if it can't end before the deadline or the task was started too often.
     void retry(JobKey key, std::uint32_t task, Time now);
     /// Stops a job's runs and starts no more of its tasks. `finishRecall` answers the job.
     void recall(JobKey key, JobFailureReason failureReason, Time now);
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -9,9 +9,8 @@
 
 namespace {
 
-/// Shortest time that a task may wait for room, so that two entries that chose the same target don't both have to place anew.
-constexpr Duration minWait = std::chrono::milliseconds(100);
-/// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait.
+/// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait: by then the expectation was wrong,
+/// and another target may have room.
 constexpr Duration::rep maxWaitFactor = 2;
 /// Maximum number of targets with room, and of full targets, that are considered for a task.
 constexpr std::size_t maxSampleSize = 8;
@@ -145,6 +144,7 @@
     for (const auto& [incarnation, agent] : agents_) {
         if (!canRun(job, agent))
             continue;
+        // A task that has failed before would lose one of its last attempts as a probe.
         if (agent.report_.isSuspect_ && avoidsSuspects && (now < agent.nextProbe_ || task.failures_))
             continue;
         bool hasSpace = hasRoom(agent.report_.capacity_, agent.committed(), job.request_.need_);
@@ -161,16 +161,16 @@
 {
     std::uniform_real_distribution<double> spread(1 - loadWeightJitter, 1 + loadWeightJitter);
     Placement best;
-    double bestCost = 0;
+    std::pair<bool, double> bestCost;
     auto consider = [&](const std::vector<Incarnation>& sample) {
         for (Incarnation incarnation : sample) {
             const AgentRow& agent = agents_[incarnation];
             TargetLoadView load = agent.load(startOrder(job, agent, now));
             Duration finish = estimateCompletion(load, job.request_.need_, expectedWork(job, agent)).finish();
-            double cost = static_cast<double>(finish.count());
-            cost += loadWeight * cpuUtilization(load) * static_cast<double>(job.work_.count()) * spread(random_);
-            if (task.avoided_.contains(incarnation))
-                cost += static_cast<double>(job.work_.count()) * 4;
+            double time = static_cast<double>(finish.count());
+            time += loadWeight * cpuUtilization(load) * static_cast<double>(job.work_.count()) * spread(random_);
+            // The task's attempts are limited, so it does not go where it failed while it can go elsewhere.
+            std::pair cost(task.avoided_.contains(incarnation), time);
             if (!best.agent_.isValid() || cost < bestCost) {
                 best = { incarnation, finish };
                 bestCost = cost;
@@ -212,9 +212,10 @@
     Duration work = expectedWork(job, agent);
     CompletionEstimate estimate = estimateCompletion(load, job.request_.need_, work);
     Duration run = estimate.run_;
-    // The wait may exceed the expectation, but only to a limit: another target may have room by then.
-    Duration wait = std::max<Duration>(minWait, estimate.wait_ * maxWaitFactor);
-    wait = std::min<Duration>(wait, std::max<Duration>(job.deadline_ - now - run, minWait));
+    // The expectation is as old as the target's report, and of no use any more than that.
+    Duration wait = std::max<Duration>(settings_.heartbeatInterval_, estimate.wait_ * maxWaitFactor);
+    // A task that can't end any more before its caller leaves has no reason to wait.
+    wait = std::clamp<Duration>(job.deadline_ - now - shortestFinish(run, job), Duration(), wait);
     if (hasSpace && task.bounces_ < JobTask::maxBounces)
         wait = Duration();
     log(LogLine("task_placed").text("job", job.request_.id_).number("task", index).number("number", task.number_).text("agent", agent.name_).milliseconds("report_age_ms", now - agent.reportedAt_).milliseconds("wait_ms", wait));
--- a/Lagoonpick/Job/JobEntryCoreSettings.h
+++ b/Lagoonpick/Job/JobEntryCoreSettings.h
@@ -35,7 +35,8 @@
     Duration shutdownTimeout_ { std::chrono::milliseconds(5200) };
     /// How long the answer to a job is kept, for a repeated request that arrives after the job was answered.
     Duration answerLifetime_ { std::chrono::seconds(10) };
-    /// Longest time that a recalled job waits for its runs to be confirmed as stopped; then it is answered as given up.
+    /// Longest time that a recalled job waits for its runs to be confirmed as stopped: a stop at the target, and the ways there and
+    /// back. Then, or when its caller would leave without an answer, it is answered as given up.
     Duration recallTimeout_ { std::chrono::milliseconds(100) };
     /// Factor on a task's expected run time on another rack than that of its data.
     double remoteFactor_ { 1 };
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -211,7 +211,7 @@
     REQUIRE(entry.starts_.size() == 1);
     entry.advance(milliseconds(1440));
     entry.core_.receive(LinkId(1), full, entry.now_);
-    entry.advance(milliseconds(40));
+    entry.advance(milliseconds(20));
     entry.end(0, RunEnd::NotStarted, Wire::NotStartedReason::Recalled);
     REQUIRE(entry.answers_.size() == 2);
     CHECK(entry.answers_[1].jobOutcome_ == JobOutcome::Rejected);
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -95,13 +95,64 @@
 {
     JobEntryFixture entry;
     entry.submit(makeRequest("job", 2));
-    entry.advance(milliseconds(1600));
+    // Its caller waits 1,500 ms, and the answer takes a few of them.
+    entry.advance(milliseconds(1480));
     REQUIRE(entry.answers_.size() == 1);
     CHECK(entry.answers_[0].jobOutcome_ == JobOutcome::GivenUp);
     CHECK(entry.stops_ >= 2);
     CHECK(entry.core_.jobCount() == 0);
 }
 
+// Guards against: a caller was kept waiting until its time was over, though its job could no longer be done in it.
+TEST_CASE("A job that can't end any more while its caller waits is answered at once")
+{
+    // How long the target that returned the task is busy, and whether the job goes on.
+    auto [backlogMs, isHeld] = GENERATE(table<std::uint64_t, bool>({ { 200, true }, { 1200, true }, { 1300, false }, { 5000, false } }));
+    JobEntryFixture entry(1);
+    entry.submit(makeRequest("job"));
+    entry.advance(milliseconds(20));
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.backlogMicroseconds_ = backlogMs * 1000;
+    entry.core_.receive(LinkId(1), full, entry.now_);
+    entry.end(0, RunEnd::NotStarted, NotStartedReason::NoRoom);
+    CHECK(entry.core_.isHeld("job") == isHeld);
+    REQUIRE(entry.answers_.size() == (isHeld ? 0 : 1));
+    if (!isHeld)
+        CHECK(entry.answers_[0].jobOutcome_ == JobOutcome::Rejected);
+}
+
+TEST_CASE("A task waits at a target for at most twice the expected wait, and no longer than it can still end while its caller waits")
+{
+    auto [backlogMs, callerTimeoutMs, waitMs] = GENERATE(table<std::uint64_t, int, int>({ { 0, 1500, 200 }, { 300, 1500, 800 }, { 300, 640, 500 }, { 900, 1500, 1360 } }));
+    JobEntryFixture entry(1);
+    auto full = openReport(1000);
+    full.used_ = { 1000, 10, 0 };
+    full.backlogMicroseconds_ = backlogMs * 1000;
+    entry.core_.receive(LinkId(1), full, entry.now_);
+    JobRequest request = makeRequest("job");
+    request.callerTimeout_ = milliseconds(callerTimeoutMs);
+    entry.submit(request);
+    REQUIRE(entry.starts_.size() == 1);
+    // 100 ms for the overflow are added to the backlog.
+    CHECK(entry.starts_[0].second.waitMicroseconds_ == static_cast<std::uint64_t>(waitMs) * 1000);
+}
+
+// Guards against: a task whose attempts are limited failed again on the target where it had failed, since that was the faster one.
+TEST_CASE("A task that failed goes to another target, also to a slower one")
+{
+    JobEntryFixture entry;
+    auto slow = openReport();
+    slow.slowdownPermille_ = 10'000;
+    entry.core_.receive(LinkId(2), slow, entry.now_);
+    entry.submit(makeRequest("job"));
+    REQUIRE(entry.starts_.size() == 1);
+    REQUIRE(entry.starts_[0].first == LinkId(1));
+    entry.end(0, RunEnd::Failed);
+    REQUIRE(entry.starts_.size() == 2);
+    CHECK(entry.starts_[1].first == LinkId(2));
+}
+
 TEST_CASE("A stalled run is moved if a new run elsewhere would end sooner, and its job is given up if it cannot meet its deadline")
 {
     enum class StallResponse { Stays,
