Own interface: Retry-After is the time until the job would be accepted

What callers saw: with the entry full of tasks Retry-After was one second however long the backlog, and with a backlog or deadline too long it was the whole backlog, though the job is accepted as soon as that has come down to the limit. Change: Admission::secondsFor the excess; 'overloaded' for a full entry says the backlog. Teams' weighted shares (FairQueue) and max_backlog_ms, an operator's limit, are promises of docs/CALLERS.md and docs/DESIGN.md and stay. Test: 'A job that would wait too long is refused at once, with a Retry-After time' asks for the very time, where any above 0 did.

--- a/Lagoonpick/Dispatch/Admission.cpp
+++ b/Lagoonpick/Dispatch/Admission.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr std::uint32_t maxRetryAfterSeconds = 60;
+/// Expectations of more than a minute are too uncertain to keep a caller away.
+constexpr std::int64_t maxRetryAfterSeconds = 60;
 
 } // namespace
 
@@ -32,21 +33,27 @@
     return Duration(static_cast<Duration::rep>(workPerMicrosecond > 0 ? std::min(waiting / workPerMicrosecond / share, maxEstimateMicroseconds) : maxEstimateMicroseconds));
 }
 
+std::uint32_t Admission::secondsFor(Duration wait)
+{
+    auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wait).count() + 1;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(seconds, 1, maxRetryAfterSeconds));
+}
+
 std::optional<Problem> Admission::check(const ServiceState& service, const Submission& submission) const
 {
     bool hasSamples = service.model_.hasSamples();
     if (!hasSamples)
         return std::nullopt;
     Duration wait = expectedBacklog(service, 0);
-    auto seconds = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(wait).count()) + 1;
     if (wait > maxBacklog_)
-        return Problem { HttpStatus::serviceUnavailable, "overloaded", "what waits already would take too long", RunState::No, RunState::No, std::min(seconds, maxRetryAfterSeconds) };
+        return Problem { HttpStatus::serviceUnavailable, "overloaded", "what waits already would take too long", RunState::No, RunState::No, secondsFor(wait - maxBacklog_) };
     double work = 0;
     for (const auto& task : submission.tasks_)
         work += service.model_.expectedWork(RunTimeModel::classOf(task.expectedMilliseconds_));
     auto deadline = std::chrono::milliseconds(submission.deadlineMilliseconds_);
-    if (submission.deadlineMilliseconds_ && expectedBacklog(service, work) > deadline)
-        return Problem { HttpStatus::serviceUnavailable, "deadline-too-near", "the job is not expected to end before its deadline", RunState::No, RunState::No, std::min(seconds, maxRetryAfterSeconds) };
+    Duration finish = expectedBacklog(service, work);
+    if (submission.deadlineMilliseconds_ && finish > deadline)
+        return Problem { HttpStatus::serviceUnavailable, "deadline-too-near", "the job is not expected to end before its deadline", RunState::No, RunState::No, secondsFor(finish - deadline) };
     return std::nullopt;
 }
 
--- a/Lagoonpick/Dispatch/Admission.h
+++ b/Lagoonpick/Dispatch/Admission.h
@@ -30,13 +30,16 @@
     {
     }
 
-    /// Returns the reason to refuse the job, or nothing if the job should be accepted.
+    /// Returns the reason to refuse the job and when it is expected to be accepted, or nothing if the job should be accepted.
     std::optional<Problem> check(const ServiceState&, const Submission&) const;
 
     /// The expected time until all waiting tasks of the service and `additionalWork` have been sent. The unit of
     /// `additionalWork` is a microsecond on a target of slowdown 1.
     Duration expectedBacklog(const ServiceState&, double additionalWork) const;
 
+    /// The wait as a `Retry-After` header gives it: at least a second.
+    static std::uint32_t secondsFor(Duration wait);
+
 private:
     Duration maxBacklog_;
     std::size_t entryCount_;
--- a/Lagoonpick/Dispatch/Home.cpp
+++ b/Lagoonpick/Dispatch/Home.cpp
@@ -61,12 +61,6 @@
         refuse(now, request, id, { HttpStatus::serviceUnavailable, "shutting-down", "this entry is shutting down", RunState::No, RunState::No, retryAfterSeconds });
         return;
     }
-    bool isFull = tasksPending_ + tasksOutstanding_ + submission.tasks_.size() > settings_.maxTasksHeld_
-        || jobs_.size() >= settings_.maxJobsRemembered_;
-    if (isFull) {
-        refuse(now, request, id, { HttpStatus::serviceUnavailable, "overloaded", "too many tasks are waiting", RunState::No, RunState::No, retryAfterSeconds });
-        return;
-    }
     auto known = serviceIndexOf_.find(submission.service_);
     if (known == serviceIndexOf_.end() || services_[known->second].targets_.empty()) {
         refuse(now, request, id, { HttpStatus::serviceUnavailable, "no-target", "no target offers the service '" + submission.service_ + "'", RunState::No, RunState::No, retryAfterSeconds });
@@ -74,7 +68,16 @@
     }
     Service& service = services_[known->second];
     Admission admission(settings_.maxBacklog_, entryCount_);
-    if (auto problem = admission.check({ targets_, service.targets_, service.model_, service.pending_ }, submission)) {
+    Admission::ServiceState state { targets_, service.targets_, service.model_, service.pending_ };
+    bool isFull = tasksPending_ + tasksOutstanding_ + submission.tasks_.size() > settings_.maxTasksHeld_
+        || jobs_.size() >= settings_.maxJobsRemembered_;
+    if (isFull) {
+        // The entry has room again as its tasks are sent and end.
+        auto seconds = service.model_.hasSamples() ? Admission::secondsFor(admission.expectedBacklog(state, 0)) : retryAfterSeconds;
+        refuse(now, request, id, { HttpStatus::serviceUnavailable, "overloaded", "too many tasks are waiting", RunState::No, RunState::No, seconds });
+        return;
+    }
+    if (auto problem = admission.check(state, submission)) {
         refuse(now, request, id, *problem);
         return;
     }
--- a/UnitTests/Dispatch/EntryCoreTest.cpp
+++ b/UnitTests/Dispatch/EntryCoreTest.cpp
@@ -292,12 +292,16 @@
         const char* deadline_;
         int waiting_;
         const char* title_;
+        /// The time until the job would be accepted: two slots run tasks of 20 ms, and a backlog of 10 s is accepted.
+        std::uint32_t retryAfterSeconds_;
     };
     auto row = GENERATE(values<Row>({
-        { "a short backlog", "", 10, "" },
-        { "a long backlog", "", 5000, "overloaded" },
-        { "the deadline can be met", R"("deadline_ms":60000,)", 10, "" },
-        { "the deadline can't be met", R"("deadline_ms":20,)", 100, "deadline-too-near" },
+        { "a short backlog", "", 10, "", 0 },
+        { "a long backlog", "", 1300, "overloaded", 3 },
+        { "a longer backlog", "", 5000, "overloaded", 40 },
+        { "the deadline can be met", R"("deadline_ms":60000,)", 10, "", 0 },
+        { "the deadline can't be met", R"("deadline_ms":20,)", 100, "deadline-too-near", 1 },
+        { "the deadline can't be met by far", R"("deadline_ms":20,)", 900, "deadline-too-near", 9 },
     }));
     CAPTURE(row.description_);
     EntryFixture fixture(10'000'000, 100'000);
@@ -309,7 +313,7 @@
     auto title = fixture.sendRequest(Submit, fixture.issue(), std::string("{") + row.deadline_ + R"("tasks":[{}]})");
     CHECK(title == row.title_);
     if (!title.empty())
-        CHECK(fixture.replies_.back().retryAfterSeconds_ > 0);
+        CHECK(fixture.replies_.back().retryAfterSeconds_ == row.retryAfterSeconds_);
 }
 
 TEST_CASE("Each refusal writes an audit record with the submission and the reason", "[EntryCore]")
