Jobs that wait for a target are placed by their queues' priorities, and among equals by their due times

What callers saw: when a target came back, jobs were placed on it in the order of their arrival. Cause: checkJobs went through the jobs by key; agents order by priority and due time. Test: 'Tasks that wait for a target are placed by the priority of their queues ...'.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -362,23 +362,28 @@
     for (const auto& [key, job] : jobs_)
         keys.push_back(key);
     bool isShutdownOver = shutdownAt_ && now - *shutdownAt_ >= settings_.shutdownTimeout_;
+    std::vector<JobKey> unplaced;
     for (JobKey key : keys) {
         HeldJob& job = jobs_[key];
-        if (job.isRecalled_) {
+        if (job.isRecalled_)
             finishRecall(key, now);
-            continue;
-        }
-        if (now >= job.deadline_ || isShutdownOver) {
+        else if (now >= job.deadline_ || isShutdownOver)
             recall(key, isShutdownOver ? JobFailureReason::ShuttingDown : JobFailureReason::Deadline, now);
-            continue;
-        }
-        for (std::uint32_t task = 0; task < job.tasks_.size() && !job.isRecalled_; ++task) {
-            if (job.tasks_[task].run_ || job.tasks_[task].isDone_)
-                continue;
+        else if (std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const auto& task) { return task.waitsForPlace(); }))
+            unplaced.push_back(key);
+    }
+    // As agents start what waits with them.
+    auto order = [this](JobKey key) { return std::pair(jobs_[key].queue_.priority_, jobs_[key].due_); };
+    std::sort(unplaced.begin(), unplaced.end(), [&](JobKey left, JobKey right) { return order(left) < order(right); });
+    for (JobKey key : unplaced)
+        placeWaitingTasks(key, now);
+}
+
+void JobEntryCore::placeWaitingTasks(JobKey key, Time now)
+{
+    for (std::uint32_t task = 0; jobs_.contains(key) && !jobs_[key].isRecalled_ && task < jobs_[key].tasks_.size(); ++task) {
+        if (jobs_[key].tasks_[task].waitsForPlace())
             retry(key, task, now);
-            if (!jobs_.contains(key))
-                break;
-        }
     }
 }
 
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -174,6 +174,7 @@
     Duration retryAfterWait(HeldJob job, Time now);
     void reject(CallerId caller, const JobRequest& request, const Admission& admission);
     void checkJobs(Time now);
+    void placeWaitingTasks(JobKey key, Time now);
     void checkAgents(Time now);
     /// Removes an agent and ends its runs as lost.
     void removeAgent(Incarnation agent, std::string_view why, Time now);
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -33,6 +33,8 @@
     bool isMoving_ { false };
     /// Agents on which a run stalled, did not start or did not succeed; other agents are preferred.
     std::set<Incarnation> avoided_;
+
+    bool waitsForPlace() const { return !isDone_ && !run_; }
 };
 
 /// A job that an entry holds until it is answered.
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -241,6 +241,39 @@
     CHECK_FALSE(entry.core_.cancel("none", entry.now_));
 }
 
+// Guards against: jobs that waited for a target were placed in the order of their arrival, whatever their queues' priorities.
+TEST_CASE("Tasks that wait for a target are placed by the priority of their queues, and among equals by their due times")
+{
+    JobEntryFixture entry(1);
+    std::vector<QueueRule> rules = JobEntryFixture::makeQueues(1).rules();
+    rules.front().priority_ = 1;
+    rules.push_back(rules.front());
+    rules.back().name_ = "urgent";
+    rules.back().prefix_ = "/urgent/";
+    rules.back().priority_ = 0;
+    entry.core_.setQueues(QueueTable(2, rules), "text");
+    entry.submit(makeRequest("first"), 1);
+    JobRequest shorter = makeRequest("shorter");
+    shorter.estimate_ = milliseconds(50);
+    entry.submit(shorter, 2);
+    JobRequest urgent = makeRequest("urgent");
+    urgent.path_ = "/urgent/";
+    entry.submit(urgent, 3);
+    REQUIRE(entry.starts_.size() == 3);
+    auto closed = openReport();
+    closed.isOpen_ = false;
+    entry.core_.receive(LinkId(1), closed, entry.now_);
+    for (std::size_t start = 0; start < 3; ++start)
+        entry.end(start, RunEnd::NotStarted, NotStartedReason::TargetUnavailable);
+    REQUIRE(entry.starts_.size() == 3);
+    entry.core_.receive(LinkId(1), openReport(), entry.now_);
+    entry.advance(milliseconds(20));
+    REQUIRE(entry.starts_.size() == 6);
+    CHECK(entry.starts_[3].second.task_ == "urgent.0.0.0");
+    CHECK(entry.starts_[4].second.task_ == "shorter.0.0.0");
+    CHECK(entry.starts_[5].second.task_ == "first.0.0.0");
+}
+
 TEST_CASE("The runs of a lost agent are placed elsewhere only when none of them can still be running")
 {
     JobEntryFixture entry;
