--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -21,7 +21,7 @@
 constexpr double loadWeight = 0.15;
 /// Random relative variation of the load's weight, so that entries with the same reports choose different targets.
 constexpr double loadWeightJitter = 0.1;
-/// Interval in which a suspect target gets at most one task from each entry.
+/// Interval in which a suspect target gets at most one task from each entry: each such probe costs a task one of its attempts.
 constexpr Duration probeInterval = std::chrono::milliseconds(500);
 
 double cpuUtilization(const TargetLoadView& load)
--- a/Lagoonpick/Job/JobTable.h
+++ b/Lagoonpick/Job/JobTable.h
@@ -31,7 +31,7 @@
     std::uint32_t moves_ { 0 };
     /// True while the current run is being stopped so that the task can be started elsewhere.
     bool isMoving_ { false };
-    /// Agents on which a run stalled, did not start or did not succeed; other agents are preferred.
+    /// Agents on which a run stalled, did not start or did not succeed; the task goes to others while there are any.
     std::set<Incarnation> avoided_;
 
     bool waitsForPlace() const { return !isDone_ && !run_; }
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -19,7 +19,8 @@
 /// A task that would be returned for lack of room is queued if it is expected to begin within this time: placing it on
 /// another target takes about as long, and that target may be full too.
 constexpr Duration minTolerableWait = std::chrono::milliseconds(10);
-/// A longer task is queued if it is expected to begin within its expected run time divided by this number.
+/// A longer task is queued if it is expected to begin within its expected run time divided by this number: so short a wait can't be told
+/// from the error of the expected time.
 constexpr Duration::rep tolerableWaitDivisor = 5;
 /// Time for which a link is kept after the report that the target is closed: starts that the entry sent before it received the
 /// report arrive within this time.
