--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -13,6 +13,7 @@
 /// Start and end of each disturbance, counted from the start of the load.
 constexpr Duration disturbanceStart = std::chrono::seconds(3);
 constexpr Duration disturbanceEnd = std::chrono::seconds(8);
+
 /// What the callers of a load are to get, relative to what a clairvoyant scheduler can give them.
 struct Promise {
     /// Least share of all jobs that are done in time, relative to the clairvoyant scheduler's.
