--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -94,9 +94,7 @@
 {
     auto isSuspect = GENERATE(false, true);
     JobEntryFixture entry;
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = 1'400'000;
+    auto full = fullReport(1'400'000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     auto empty = openReport();
     empty.isSuspect_ = isSuspect;
@@ -110,9 +108,7 @@
 TEST_CASE("The log line of a rejection for lack of room holds the figures of the decision")
 {
     JobEntryFixture entry(1);
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = 1'400'000;
+    auto full = fullReport(1'400'000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     entry.now_ += milliseconds(30);
     entry.submit(makeRequest("late"));
@@ -181,9 +177,7 @@
         { 200, 400, false },
     }));
     JobEntryFixture entry(1);
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = backlogMs * 1000;
+    auto full = fullReport(backlogMs * 1000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     JobRequest request = makeRequest("job");
     request.callerTimeout_ = milliseconds(callerTimeoutMs);
@@ -198,9 +192,7 @@
     // The job would end 200 ms after the backlog, and its caller waits 1,460 ms without the time for the answer.
     auto [backlogMs, retryAfterMs] = GENERATE(table<std::uint64_t, int>({ { 1400, 1000 }, { 2260, 1000 }, { 5260, 4000 }, { 60'260, 59'000 } }));
     JobEntryFixture entry(1);
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = backlogMs * 1000;
+    auto full = fullReport(backlogMs * 1000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     entry.submit(makeRequest("at once"));
     REQUIRE(entry.answers_.size() == 1);
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -111,9 +111,7 @@
     JobEntryFixture entry(1);
     entry.submit(makeRequest("job"));
     entry.advance(milliseconds(20));
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = backlogMs * 1000;
+    auto full = fullReport(backlogMs * 1000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     entry.end(0, RunEnd::NotStarted, NotStartedReason::NoRoom);
     CHECK(entry.core_.isHeld("job") == isHeld);
@@ -126,9 +124,7 @@
 {
     auto [backlogMs, callerTimeoutMs, waitMs] = GENERATE(table<std::uint64_t, int, int>({ { 0, 1500, 200 }, { 300, 1500, 800 }, { 300, 640, 500 }, { 900, 1500, 1360 } }));
     JobEntryFixture entry(1);
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = backlogMs * 1000;
+    auto full = fullReport(backlogMs * 1000);
     entry.core_.receive(LinkId(1), full, entry.now_);
     JobRequest request = makeRequest("job");
     request.callerTimeout_ = milliseconds(callerTimeoutMs);
@@ -215,9 +211,7 @@
     auto slow = openReport();
     slow.slowdownPermille_ = 6000;
     entry.core_.receive(LinkId(1), slow, entry.now_);
-    auto full = openReport(1000);
-    full.used_ = { 1000, 10, 0 };
-    full.backlogMicroseconds_ = 20'000;
+    auto full = fullReport(20'000);
     entry.core_.receive(LinkId(2), full, entry.now_);
     entry.submit(makeRequest("job"));
     REQUIRE(entry.starts_.size() == 1);
--- a/UnitTests/Runs/JobEntryFixture.h
+++ b/UnitTests/Runs/JobEntryFixture.h
@@ -11,6 +11,15 @@
     return { .isOpen_ = true, .service_ = "service", .labels_ = { "a", "rack-1" }, .capacity_ = { milliCores, 10'000, 0 } };
 }
 
+/// The report of a target whose only place is taken, and free after the backlog.
+inline Wire::TargetReport fullReport(std::uint64_t backlogMicroseconds)
+{
+    auto report = openReport(1000);
+    report.used_ = { 1000, 10, 0 };
+    report.backlogMicroseconds_ = backlogMicroseconds;
+    return report;
+}
+
 inline JobRequest makeRequest(const std::string& id, std::uint32_t tasks = 1)
 {
     return { .id_ = id, .host_ = "host", .path_ = "/queue/", .payload_ = "p", .taskCount_ = tasks, .need_ = { 1000, 10, 0 }, .requiredLabel_ = {}, .rack_ = {}, .estimate_ = std::chrono::milliseconds(100), .callerTimeout_ = std::chrono::milliseconds(1500) };
