An entry that shuts down accepts the jobs that can end before it stops

What callers saw: while an entry waits for its last jobs after SIGTERM, jobs that arrive over connections opened before were rejected from 2.5 s on, for good (503), although the process goes on for up to 5.2 s. Cause: the time for which the listener stays open was also the last time at which a job was accepted. Now a job is rejected as shutting_down only if it is not expected to end before the entry gives up its jobs.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -84,8 +84,6 @@
     }
     if (!queueExists)
         return reject(caller, request, { JobFailureReason::NoConfiguration });
-    if (shutdownAt_ && now - *shutdownAt_ > settings_.shutdownAcceptance_)
-        return reject(caller, request, { JobFailureReason::ShuttingDown });
     if (jobs_.size() >= settings_.maxJobs_)
         return reject(caller, request, { JobFailureReason::Overloaded });
     if (!request.taskCount_ || request.taskCount_ > settings_.maxTasks_)
@@ -100,6 +98,8 @@
     job.deadline_ = now + request.callerTimeout_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
     Admission admission = admit(job, now);
+    if (admission.failureReason_ == JobFailureReason::None && !endsBeforeShutdown(admission, now))
+        admission.failureReason_ = JobFailureReason::ShuttingDown;
     if (admission.failureReason_ != JobFailureReason::None)
         return reject(caller, request, admission);
     ++counters_.accepted_;
@@ -334,6 +334,13 @@
     }
 }
 
+/// Handles the load pattern of a rolling restart: callers keep connections on which they send jobs to an entry that has left the
+/// load balancer's rotation and waits for its last jobs. A job that can end meanwhile is accepted, since a rejection is final.
+bool JobEntryCore::endsBeforeShutdown(const Admission& admission, Time now) const
+{
+    return !shutdownAt_ || now + admission.expectedFinish_ <= *shutdownAt_ + settings_.shutdownTimeout_ - settings_.answerMargin_;
+}
+
 void JobEntryCore::beginShutdown(Time now)
 {
     if (shutdownAt_)
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -140,6 +140,8 @@
         Duration reportAge_ {};
     };
     Admission admit(const HeldJob& job, Time now);
+    /// True unless the entry is shutting down and will have given up its jobs by the expected end of this one.
+    bool endsBeforeShutdown(const Admission& admission, Time now) const;
     /// Starts a task on the best agent, if any; otherwise the task waits for a later tick.
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// Random sample of the agents whose targets could run a task, split by whether they currently seem to have room.
