A task counts as too late only once its job's longest likely work would be late too

What callers saw: in a burst, waiting tasks begin close to their latest start, and half of those that had just passed it were put behind all others as late, although the time until a job is due grows with its true work (slack_factor), which declared times tell only roughly. Now the latest start allows for work that exceeds the expected one by the factor by which it may fall short of it, as the queue's ended jobs show (WorkEstimate::shortest_).

The new test fails on the former code for spreads of 1.5 and 2.

--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -125,6 +125,8 @@
     Duration workOf(Duration took, const HeldJob& job, const AgentRow& agent) const;
     /// The earliest that a task is to be reckoned to end whose expected time to the end is `finish`.
     static Duration shortestFinish(Duration finish, const HeldJob& job);
+    /// The latest start of a task, if it runs for `run`, with which the job may still end when it is due.
+    static Time latestStart(const HeldJob& job, Duration run);
     /// The place of the job's tasks among those that wait on an agent's target.
     StartOrder startOrder(const HeldJob& job, const AgentRow& agent, Time now) const;
     /// True if suspect targets, which fail what they run, are to be avoided.
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -61,10 +61,20 @@
     return expected > 0 ? scale(finish, static_cast<double>(job.shortestWork_.count()) / expected) : finish;
 }
 
+/// Handles the load pattern of a burst in which queued tasks begin close to their latest start. The time until a job is due grows with
+/// its actual work, which may exceed the expected one by the same factor by which it may fall short of it. Before that time is over
+/// too, a task must not be treated as one that can't end when it is due.
+Time JobEntryCore::latestStart(const HeldJob& job, Duration run)
+{
+    double shortest = static_cast<double>(std::max<Duration::rep>(job.shortestWork_.count(), 1));
+    Duration longest = scale(job.work_, static_cast<double>(job.work_.count()) / shortest);
+    return job.due_ - run + scale(longest - job.work_, std::max(job.queue_.slackFactor_ - 1, 0.0));
+}
+
 StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent, Time now) const
 {
     Duration run = scale(expectedWork(job, agent), agent.slowdown());
-    StartOrder order { job.queue_.priority_, job.due_ - run };
+    StartOrder order { job.queue_.priority_, latestStart(job, run) };
     // By the time that it could start, it would have made way for those that can still end when they are due.
     if (order.due_ < now || agent.backlog_.waitOf(order) > order.due_ - now)
         order.due_ = std::max(order.due_, job.deadline_ - run);
@@ -230,7 +240,7 @@
             .need_ = job.request_.need_,
             .workMicroseconds_ = static_cast<std::uint64_t>(work.count()),
             .waitMicroseconds_ = static_cast<std::uint64_t>(wait.count()),
-            .dueInMicroseconds_ = (job.due_ - now - run).count(),
+            .dueInMicroseconds_ = (latestStart(job, run) - now).count(),
             .priority_ = job.queue_.priority_,
             .callerTimeoutMicroseconds_ = static_cast<std::uint64_t>(std::max<Duration>(job.deadline_ - now, Duration()).count()),
             .agentTime_ = confirmAgentTime(agent) });
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -111,6 +111,31 @@
     CHECK(entry.answers_.empty() == row.isAccepted_);
 }
 
+// Guards against: in a burst, tasks were put behind others as late although their jobs, whose work was longer than expected, were
+// not due yet.
+TEST_CASE("The latest start of a task allows for work that is longer than expected, as far as the queue's declared times are off")
+{
+    // Ended jobs took this factor more or less than the declared 100 ms, by turns.
+    struct Row {
+        double spread_;
+        Duration::rep least_;
+        Duration::rep most_;
+    };
+    // Due after 1.6 times the work and 60 ms, less 15 ms in transit and the run of 100 ms; with a spread, 0.6 times the longest work's excess more.
+    auto row = GENERATE(values<Row>({ { 1, 100'000, 110'000 }, { 1.5, 130'000, 200'000 }, { 2, 200'000, 400'000 } }));
+    INFO("spread " << row.spread_);
+    JobEntryFixture entry;
+    for (int i = 0; i < 40; ++i) {
+        entry.submit(makeRequest("ended" + std::to_string(i)));
+        double factor = i % 2 ? row.spread_ : 1 / row.spread_;
+        entry.end(entry.starts_.size() - 1, Wire::RunEnd::Done, Wire::NotStartedReason::None, scale(milliseconds(100), factor));
+    }
+    entry.submit(makeRequest("job"));
+    auto dueIn = entry.starts_.back().second.dueInMicroseconds_;
+    CHECK(dueIn >= row.least_);
+    CHECK(dueIn <= row.most_);
+}
+
 TEST_CASE("The free capacity of a suspect target does not count as room")
 {
     auto isSuspect = GENERATE(false, true);
