--- a/Lagoonpick/Wire/FieldRules.h
+++ b/Lagoonpick/Wire/FieldRules.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,6 +86,18 @@
     }
 };
 
+/// Texts of a set, in ascending order.
+struct SortedTexts {
+    std::size_t maxCount_;
+    ValidText each_;
+    std::string_view findFault(const std::vector<std::string>& values) const
+    {
+        if (std::adjacent_find(values.begin(), values.end(), std::greater_equal<>()) != values.end())
+            return " is out of order";
+        return ValidTexts { maxCount_, each_ }.findFault(values);
+    }
+};
+
 struct ValidIncarnation {
     std::string_view findFault(Incarnation value) const { return value.isValid() ? "" : " is none"; }
 };
--- a/Lagoonpick/Wire/RunLimits.h
+++ b/Lagoonpick/Wire/RunLimits.h
@@ -20,6 +20,8 @@
 /// Names of processes, availability zones, services and labels.
 constexpr std::size_t maxNameBytes = 256;
 constexpr std::size_t maxLabels = 64;
+/// Evacuated availability zones.
+constexpr std::size_t maxEvacuatedZones = 1024;
 /// Places in the order of queued runs for which a report gives the backlog.
 constexpr std::size_t maxQueuedBacklogs = 16;
 constexpr std::size_t maxAddressBytes = 64;
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -13,7 +13,7 @@
 namespace Lagoonpick::Wire {
 
 /// Protocol version; must be the same at both ends of a link.
-constexpr std::uint32_t runProtocolVersion = 5;
+constexpr std::uint32_t runProtocolVersion = 6;
 
 /// How a run ended.
 enum class RunEnd : std::uint8_t {
@@ -44,6 +44,8 @@
     Recalled,
     /// The agent has no record of the run.
     Unknown,
+    /// The agent's availability zone is evacuated, or the agent does not know yet whether it is.
+    ZoneEvacuated,
 };
 
 /// Names as used in logs.
@@ -76,7 +78,7 @@
     bool operator==(const AgentHello&) const = default;
 };
 
-/// Shows that the sender is alive, and which version of the configuration it has.
+/// Shows that the sender is alive, and which versions of the configuration and of the evacuated zones it has.
 struct RunHeartbeat {
     std::uint64_t configurationVersion_ { 0 };
     /// The highest `RunEnded::sequence_` that an entry has received from this agent, on any link; 0 from agents.
@@ -84,6 +86,8 @@
     /// From an agent: when it sent this, in milliseconds of its own clock. From an entry: the latest such time that it has received
     /// from this agent, 0 if none. So the agent knows of which moment the entry's message tells, however long it was on its way.
     std::uint64_t agentTime_ { 0 };
+    /// `EvacuatedZones::revision_` of the set that the sender has; 0 if it knows none.
+    std::uint64_t zonesRevision_ { 0 };
     bool operator==(const RunHeartbeat&) const = default;
 };
 
@@ -100,6 +104,15 @@
     bool operator==(const ConfigurationCopy&) const = default;
 };
 
+/// The availability zones that operators have evacuated. Sent to a peer that has an older set.
+struct EvacuatedZones {
+    /// A revision of the platform's store at which this was the complete set; 0: not known.
+    std::uint64_t revision_ { 0 };
+    /// In ascending order, without duplicates.
+    std::vector<std::string> names_;
+    bool operator==(const EvacuatedZones&) const = default;
+};
+
 /// Link addresses of entries that the receiving agent is to connect to, as `IP:port`.
 struct EntryAddresses {
     std::vector<std::string> addresses_;
@@ -209,6 +222,6 @@
 };
 
 using RunMessage = std::variant<EntryHello, AgentHello, RunHeartbeat, ConfigurationRequest, ConfigurationCopy, EntryAddresses, StartRun, StopRun, QueryRun,
-    RunEnded, RunStalled, TargetReport>;
+    RunEnded, RunStalled, TargetReport, EvacuatedZones>;
 
 } // namespace Lagoonpick::Wire
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -93,7 +93,7 @@
 template <>
 constexpr RunEnd lastEnumerator<RunEnd>() { return RunEnd::NotStarted; }
 template <>
-constexpr NotStartedReason lastEnumerator<NotStartedReason>() { return NotStartedReason::Unknown; }
+constexpr NotStartedReason lastEnumerator<NotStartedReason>() { return NotStartedReason::ZoneEvacuated; }
 
 void describe(auto& archive, MaybeConst<Resources> auto& value)
 {
@@ -117,7 +117,7 @@
 void describe(auto& archive, MaybeConst<RunHeartbeat> auto& value)
 {
     archive(counter("configuration_version", value.configurationVersion_, 0), counter("highest_seen_end", value.highestSeenEnd_, 0),
-        agentTime(value.agentTime_));
+        agentTime(value.agentTime_), counter("zones_revision", value.zonesRevision_, 0));
 }
 
 void describe(auto& archive, MaybeConst<ConfigurationRequest> auto& value)
@@ -188,11 +188,17 @@
         counter("highest_seen_run", value.highestSeenRun_, 0), agentTime(value.agentTime_));
 }
 
+void describe(auto& archive, MaybeConst<EvacuatedZones> auto& value)
+{
+    using Names = std::remove_reference_t<decltype((value.names_))>;
+    archive(counter("revision", value.revision_, 1), Field<Names, SortedTexts> { "names", value.names_, { maxEvacuatedZones, { 1, maxNameBytes } } });
+}
+
 std::string_view nameOfRunMessage(std::size_t kind)
 {
     constexpr std::array<std::string_view, std::variant_size_v<RunMessage>> names { "entry_hello", "agent_hello", "heartbeat",
         "configuration_request", "configuration_copy", "entry_addresses", "start_run", "stop_run", "query_run", "run_ended", "run_stalled",
-        "target_report" };
+        "target_report", "evacuated_zones" };
     return names[kind];
 }
 
@@ -204,8 +210,8 @@
 
 std::string_view nameOf(NotStartedReason reason)
 {
-    constexpr std::array<std::string_view, 9> names { "none", "no_room", "draining", "target_unavailable", "old_number",
-        "rejected", "unanswered", "recalled", "unknown" };
+    constexpr std::array<std::string_view, 10> names { "none", "no_room", "draining", "target_unavailable", "old_number",
+        "rejected", "unanswered", "recalled", "unknown", "zone_evacuated" };
     return names[toUnderlying(reason)];
 }
 
--- a/UnitTests/Runs/RunFrameTest.cpp
+++ b/UnitTests/Runs/RunFrameTest.cpp
@@ -47,6 +47,7 @@
     const auto report = exampleOf<Wire::TargetReport>();
     const auto copy = exampleOf<Wire::ConfigurationCopy>();
     const auto addresses = exampleOf<Wire::EntryAddresses>();
+    const auto zones = exampleOf<Wire::EvacuatedZones>();
     const std::string noUtf8 = "\xff\xfe";
     constexpr std::uint64_t top = ~0ULL;
     auto zigzag = [](std::uint64_t magnitude, bool isNegative) { return magnitude * 2 - (isNegative ? 1 : 0); };
@@ -70,6 +71,7 @@
         number("configuration_version", heartbeat, 0, counter, counter + 1),
         number("highest_seen_end", heartbeat, 1, counter, top),
         number("agent_time", heartbeat, 2, latest, top),
+        number("zones_revision", heartbeat, 3, counter, top),
         number("version", Wire::ConfigurationRequest { 1 }, 0, counter, top),
         number("version", copy, 0, counter, top),
         number("version", copy, 0, 1, 0),
@@ -104,7 +106,7 @@
         number("sequence", ended, 0, counter, top),
         number("run", ended, 1, counter, top),
         number("end", ended, 2, 4, 5),
-        number("reason", ended, 3, 8, 9),
+        number("reason", ended, 3, 9, 10),
         // A run that failed was begun.
         number("reason", ended, 2, 4, 1),
         number("duration", ended, 4, year, top),
@@ -126,6 +128,13 @@
         number("typical", report, 24, year, top),
         number("highest_seen_run", report, 25, counter, top),
         number("agent_time", report, 26, latest, top),
+        number("revision", zones, 0, counter, top),
+        number("revision", zones, 0, 1, 0),
+        { "names", zones, 3, makeText(std::string(256, 'x')), makeText(std::string(257, 'x')) },
+        odd("names", zones, 3, noUtf8),
+        // Before, and equal to, the name that precedes it.
+        odd("names", zones, 3, ""),
+        odd("names", zones, 3, "a"),
     };
     for (const auto& row : rows) {
         CAPTURE(row.field_, row.message_.index(), row.item_);
@@ -138,7 +147,7 @@
 }
 
 // Guards against: a frame of the size that links allow took a hundred times as much memory once it was decoded.
-TEST_CASE("A frame has a limited number of messages, labels and addresses")
+TEST_CASE("A frame has a limited number of messages, labels, addresses and zones")
 {
     auto [count, isValid] = GENERATE(table<std::size_t, bool>({ { 0, true }, { 16'384, true }, { 16'385, false }, { 1'000'000, false } }));
     std::string frame = makeItem(4, count);
@@ -159,6 +168,13 @@
     CHECK_FALSE(isDecoded(toFrame(report)));
     CHECK(isDecoded(toFrame(Wire::EntryAddresses { std::vector<std::string>(1024, "10.0.0.1:1") })));
     CHECK_FALSE(isDecoded(toFrame(Wire::EntryAddresses { std::vector<std::string>(1025, "10.0.0.1:1") })));
+    Wire::EvacuatedZones zones { 1, {} };
+    CHECK(isDecoded(toFrame(zones)));
+    for (int zone = 0; zone < 1024; ++zone)
+        zones.names_.push_back("zone-" + std::to_string(1000 + zone));
+    CHECK(isDecoded(toFrame(zones)));
+    zones.names_.emplace_back("zone-9999");
+    CHECK_FALSE(isDecoded(toFrame(zones)));
 }
 
 // Guards against: a peer's own measure beyond a limit closed its link, and its runs were lost with it.
