Evacuation of an availability zone: nothing starts in a zone while operators' key op/evacuate/ZONE exists

The entry reads and watches all of op/ instead of op/config, with as many calls, and passes the set of zones to its agents; each peer with an older set gets the newer one. The agent starts nothing while its zone is evacuated or no set is known, and returns what waits (ZoneEvacuated, counted as never sent). The entry places nothing there and leaves its room out of the estimate.

EntrySelectionTest and RunAgentCoreLeaseTest: their entries show and send the set of zones, as entries do; no assertion changes.

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -45,7 +45,7 @@
     })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , store_(context, settings_.storeAddress_)
-    , configurationWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
+    , operatorWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this](const UsersPlatform::EvacuationReading& reading) { recordZones(reading); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
@@ -67,7 +67,7 @@
         log_.flush();
         return fault;
     }
-    configurationWatch_.start();
+    operatorWatch_.start();
     registration_.start();
     loop_.start();
     return {};
@@ -167,6 +167,15 @@
     loop_.scheduleTick();
 }
 
+void JobEntryHost::recordZones(const UsersPlatform::EvacuationReading& reading)
+{
+    Time now = beginInput();
+    for (const auto& key : reading.unreadableKeys_)
+        logFault("evacuation_unreadable", "store", key);
+    core_.setEvacuatedZones(reading.zones_, now);
+    loop_.scheduleTick();
+}
+
 void JobEntryHost::tick()
 {
     Time now = beginInput();
@@ -254,7 +263,7 @@
     Time now = clock_.now();
     for (const auto& [incarnation, agent] : core_.agents())
         agents += fmt::format("{}{{\"agent\":\"{}\",\"availability_zone\":\"{}\",\"report_age_ms\":{},\"linked\":{},\"open\":{},\"suspect\":{},\"used\":{},\"capacity\":{},\"runs\":{}}}", agents.empty() ? "" : ",", agent.name_, agent.availabilityZone_, (now - agent.reportedAt_) / std::chrono::milliseconds(1), agent.link_.has_value(), agent.report_.isOpen_, agent.report_.isSuspect_, agent.report_.used_.milliCores_, agent.report_.capacity_.milliCores_, agent.runs_.size());
-    return fmt::format("{{\"entry\":\"{}\",\"ready\":{},\"configuration\":{},\"jobs\":{},\"agents\":[{}]}}", settings_.job_.name_, core_.isReady(), core_.configurationVersion(), core_.jobCount(), agents);
+    return fmt::format("{{\"entry\":\"{}\",\"ready\":{},\"configuration\":{},\"evacuation\":{},\"jobs\":{},\"agents\":[{}]}}", settings_.job_.name_, core_.isReady(), core_.configurationVersion(), dumpZones(core_.evacuation(), now), core_.jobCount(), agents);
 }
 
 } // namespace Lagoonpick
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "JobEntry/ConfigurationWatch.h"
 #include "JobEntry/EntryRegistration.h"
 #include "JobEntry/JobEntrySettings.h"
+#include "JobEntry/OperatorWatch.h"
 #include "Lagoonpick/Configuration/SettingsWatch.h"
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Job/JobEntryCore.h"
@@ -43,6 +43,7 @@
     void respondTo(const HttpServer::Respond&, HttpResponse response) const;
 
     void installConfiguration(const std::string& text, std::string_view source);
+    void recordZones(const UsersPlatform::EvacuationReading& reading);
     void tick();
     void applyEffects();
     void announceToSeeds();
@@ -69,7 +70,7 @@
     HttpServer ready_;
     HttpServer metrics_;
     UsersPlatform::StoreClient store_;
-    ConfigurationWatch configurationWatch_;
+    OperatorWatch operatorWatch_;
     EntryRegistration registration_;
     HostLoop loop_;
     /// The callers that wait for their answers, by `CallerId`.
--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -26,6 +26,10 @@
     writeMetric(text, "lagoonpick_jobs_held", "", static_cast<double>(core.jobCount()));
     writeMetricHeader(text, "lagoonpick_configuration_version", "gauge", "The version of the configuration in force.");
     writeMetric(text, "lagoonpick_configuration_version", "", static_cast<double>(core.configurationVersion()));
+    writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
+    writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
+    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if the process knows none.");
+    writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
     writeMetricHeader(text, "lagoonpick_agents", "gauge", "Agents with a link.");
     writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.linkedAgentCount()));
     writeMetricHeader(text, "lagoonpick_connections_closed_total", "counter", "Callers' connections that were closed because there was no room for more.");
--- a/JobEntry/ConfigurationWatch.cpp
+++ b/JobEntry/OperatorWatch.cpp
@@ -1,8 +1,9 @@
-#include "JobEntry/ConfigurationWatch.h"
+#include "JobEntry/OperatorWatch.h"
 
 #include "Lagoonpick/Transport/Spawn.h"
 #include "platform/ConfigurationCodec.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -14,12 +15,12 @@
 constexpr Duration watchWait = std::chrono::milliseconds(1000);
 /// The delay after a call that failed, or a read that found no configuration.
 constexpr Duration retryDelay = std::chrono::milliseconds(100);
-/// The number of watches after which the configuration is read, because a watch may miss a change.
+/// The number of watches after which everything is read, because a watch may miss a change.
 constexpr int watchesPerRead = 2;
 
 } // namespace
 
-ConfigurationWatch::ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events)
+OperatorWatch::OperatorWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events)
     : context_(context)
     , store_(store)
     , clock_(clock)
@@ -27,12 +28,12 @@
 {
 }
 
-void ConfigurationWatch::start()
+void OperatorWatch::start()
 {
-    spawn(context_, run(), "watch of the configuration");
+    spawn(context_, run(), "watch of the operators' keys");
 }
 
-boost::asio::awaitable<void> ConfigurationWatch::run()
+boost::asio::awaitable<void> OperatorWatch::run()
 {
     boost::asio::steady_timer timer(context_);
     while (true) {
@@ -45,27 +46,29 @@
     }
 }
 
-boost::asio::awaitable<bool> ConfigurationWatch::readNewest()
+boost::asio::awaitable<bool> OperatorWatch::readNewest()
 {
     const Time sentAt = clock_.now();
-    auto result = co_await store_.read(std::string(UsersPlatform::configurationKey));
+    auto result = co_await store_.readRange(std::string(UsersPlatform::operatorPrefix));
     updateReachability(result.has_value(), result ? nullptr : &result.error());
     if (!result)
         co_return false;
     watchesSinceRead_ = 0;
-    const auto& read = result.value();
-    if (!read.item_)
+    const auto& range = result.value();
+    events_.onZonesRead_(UsersPlatform::decodeEvacuations(range));
+    auto configuration = std::find_if(range.items_.begin(), range.items_.end(), [](const auto& item) { return item.key_ == UsersPlatform::configurationKey; });
+    if (configuration == range.items_.end())
         co_return false;
-    revision_ = std::max(read.revision_, read.item_->revision_);
-    events_.onChanged_(read.item_->value_);
+    revision_ = range.revision_;
+    events_.onChanged_(configuration->value_);
     events_.onConfirmed_(sentAt);
     isReadDue_ = false;
     co_return true;
 }
 
-boost::asio::awaitable<bool> ConfigurationWatch::watchOnce()
+boost::asio::awaitable<bool> OperatorWatch::watchOnce()
 {
-    auto result = co_await store_.watch(std::string(UsersPlatform::configurationKey), revision_, watchWait);
+    auto result = co_await store_.watch(std::string(UsersPlatform::operatorPrefix), revision_, watchWait);
     updateReachability(result.has_value(), result ? nullptr : &result.error());
     if (!result)
         co_return false;
@@ -74,11 +77,13 @@
             events_.onChanged_(item.value_);
     }
     revision_ = result.value().revision_;
-    isReadDue_ = ++watchesSinceRead_ >= watchesPerRead;
+    // A set of zones built from events would be wrong after a lost one, so that a change of a zone only causes a read.
+    bool hasZoneChanged = std::any_of(result.value().changedKeys_.begin(), result.value().changedKeys_.end(), [](const auto& key) { return key.starts_with(UsersPlatform::evacuationPrefix); });
+    isReadDue_ = ++watchesSinceRead_ >= watchesPerRead || hasZoneChanged;
     co_return true;
 }
 
-void ConfigurationWatch::updateReachability(bool isReachable, const Error* error)
+void OperatorWatch::updateReachability(bool isReachable, const Error* error)
 {
     if (isReachable == isStoreReachable_)
         return;
--- a/JobEntry/ConfigurationWatch.h
+++ b/JobEntry/OperatorWatch.h
@@ -1,22 +1,25 @@
 #pragma once
 
 #include "Lagoonpick/Core/BootTime.h"
+#include "platform/EvacuationCodec.h"
 #include "platform/StoreClient.h"
 
 #include <functional>
 
 namespace Lagoonpick {
 
-/// Follows the operators' configuration in the platform's store. Watches for changes, and reads the configuration at the
+/// Follows what operators write into the platform's store: the configuration and the evacuated zones. Watches for changes, and reads all at the
 /// start, after a watch failed (for instance because the store no longer keeps the history), and after a number of
 /// watches, because a watch may miss a change.
 ///
 /// Used from one thread only: the one that runs its `io_context`.
-class ConfigurationWatch {
+class OperatorWatch {
 public:
     struct Events {
         /// Called with the configuration's text after each read, and for each change that a watch returns.
         std::function<void(const std::string& text)> onChanged_;
+        /// Called with the evacuated zones after each read.
+        std::function<void(const UsersPlatform::EvacuationReading&)> onZonesRead_;
         /// A read that was sent at `sentAt` has shown that the configuration last passed to `onChanged_` was the newest then or later.
         std::function<void(Time sentAt)> onConfirmed_;
         /// A call to the store failed; called once until a call succeeds again.
@@ -25,7 +28,7 @@
         std::function<void()> onStoreRegained_;
     };
 
-    ConfigurationWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events);
+    OperatorWatch(boost::asio::io_context& context, UsersPlatform::StoreClient& store, const BootTime& clock, Events events);
 
     void start();
 
--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -151,7 +151,7 @@
         answer(ref.job_, JobOutcome::Failed, JobFailureReason::None, now);
         return;
     }
-    bool wasSent = reason != NotStartedReason::NoRoom && reason != NotStartedReason::Draining;
+    bool wasSent = reason != NotStartedReason::NoRoom && reason != NotStartedReason::Draining && reason != NotStartedReason::ZoneEvacuated;
     if (reason == NotStartedReason::StaleStartNumber)
         task.number_ += startNumberStep;
     else if (reason == NotStartedReason::NoRoom && task.bounces_ < JobTask::maxBounces)
@@ -286,9 +286,9 @@
 void JobEntryCore::reject(CallerId caller, const JobRequest& request, const Admission& admission)
 {
     ++counters_.rejected_;
-    std::size_t usable = std::count_if(agents_.begin(), agents_.end(), [](const auto& row) { return row.second.isUsable(); });
+    std::size_t usable = std::count_if(agents_.begin(), agents_.end(), [this](const auto& row) { return isUsable(row.second); });
     LogLine line("job_rejected");
-    line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
+    line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("zones_revision", evacuation_.revision()).number("zones_evacuated", evacuation_.set().names_.size()).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
     if (admission.failureReason_ == JobFailureReason::Overloaded && admission.finishLimit_.count())
         line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
     Duration comeBackAfter = retryAfter(admission);
@@ -344,9 +344,9 @@
 
 bool JobEntryCore::isReady() const
 {
-    if (shutdownAt_ || !queues_.version())
+    if (shutdownAt_ || !queues_.version() || !evacuation_.isKnown())
         return false;
-    return std::any_of(agents_.begin(), agents_.end(), [](const auto& row) { return row.second.isUsable(); });
+    return std::any_of(agents_.begin(), agents_.end(), [this](const auto& row) { return isUsable(row.second); });
 }
 
 void JobEntryCore::tick(Time now)
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -8,6 +8,7 @@
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
 #include "Lagoonpick/Run/ConfigurationFetch.h"
+#include "Lagoonpick/Run/EvacuationState.h"
 #include "Lagoonpick/Wire/Outgoing.h"
 
 #include <deque>
@@ -63,6 +64,10 @@
     /// Records that the installed configuration was the newest at `time`.
     void confirmConfiguration(Time time) { configurationConfirmedAt_ = time; }
 
+    /// Records the complete set of evacuated zones that a read of the store showed; ignores a set of the same or an older revision.
+    void setEvacuatedZones(Wire::EvacuatedZones zones, Time now);
+    const EvacuationState& evacuation() const { return evacuation_; }
+
     void submit(CallerId caller, const JobRequest& request, Time now);
     /// Handles a caller that closed its connection: cancels its job unless other callers wait for the job too.
     void callerDisconnected(CallerId caller, Time now);
@@ -107,12 +112,18 @@
     void handle(LinkId, const Wire::RunHeartbeat&, Time now);
     void handle(LinkId, const Wire::ConfigurationRequest&, Time now);
     void handle(LinkId, const Wire::ConfigurationCopy&, Time now);
+    void handle(LinkId, const Wire::EvacuatedZones&, Time now);
     void handle(LinkId, const Wire::RunEnded&, Time now);
     void handle(LinkId, const Wire::RunStalled&, Time now);
     void handle(LinkId, const Wire::TargetReport&, Time now);
     /// Handles message types that an agent never sends to an entry: aborts the link.
     void handle(LinkId link, const auto&, Time) { effects_.linksToAbort_.push_back(link); }
 
+    /// Logs a change of the evacuated zones and sends them to all linked agents.
+    void zonesChanged(std::string_view source);
+    void sendZones(LinkId link);
+    /// True if tasks can be placed on the agent's target.
+    bool isUsable(const AgentRow& agent) const;
     AgentRow* findAgent(LinkId link);
     static void recordAgentTime(AgentRow& agent, std::uint64_t agentTime, Time now);
     /// Returns the agent's latest time, to be sent back to it.
@@ -188,6 +199,7 @@
     std::string configurationText_;
     ConfigurationFetch configurationFetch_;
     Time configurationConfirmedAt_;
+    EvacuationState evacuation_;
     WorkModel workModel_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -22,6 +22,7 @@
 void JobEntryCore::linkOpened(LinkId link, Time)
 {
     send(link, Wire::EntryHello { .incarnation_ = settings_.incarnation_, .name_ = settings_.name_, .availabilityZone_ = settings_.availabilityZone_, .address_ = settings_.linkAddress_ });
+    sendZones(link);
 }
 
 void JobEntryCore::linkClosed(LinkId link, Time now)
@@ -38,8 +39,8 @@
 {
     AgentRow* agent = findAgent(link);
     bool isHello = std::holds_alternative<Wire::AgentHello>(message) || std::holds_alternative<Wire::EntryHello>(message);
-    // Another entry answers a hello with its configuration.
-    bool isForAll = isHello || std::holds_alternative<Wire::ConfigurationCopy>(message);
+    // Another entry sends its evacuated zones with its hello, and answers a hello with its configuration.
+    bool isForAll = isHello || std::holds_alternative<Wire::ConfigurationCopy>(message) || std::holds_alternative<Wire::EvacuatedZones>(message);
     if (!agent && !isForAll)
         return;
     if (agent)
@@ -115,6 +116,8 @@
     recordAgentTime(*findAgent(link), heartbeat.agentTime_, now);
     if (configurationFetch_.mustAsk(heartbeat.configurationVersion_, queues_.version(), now))
         send(link, Wire::ConfigurationRequest { queues_.version() });
+    if (evacuation_.revision() > heartbeat.zonesRevision_)
+        sendZones(link);
 }
 
 void JobEntryCore::handle(LinkId link, const Wire::ConfigurationRequest& request, Time)
@@ -210,7 +213,7 @@
         Duration interval = agent.runs_.empty() ? settings_.idleHeartbeatInterval_ : settings_.heartbeatInterval_;
         if (agent.link_ && now - agent.heartbeatSentAt_ >= interval) {
             agent.heartbeatSentAt_ = now;
-            send(*agent.link_, Wire::RunHeartbeat { .configurationVersion_ = queues_.version(), .highestSeenEnd_ = agent.highestSeenEnd_, .agentTime_ = confirmAgentTime(agent) });
+            send(*agent.link_, Wire::RunHeartbeat { .configurationVersion_ = queues_.version(), .highestSeenEnd_ = agent.highestSeenEnd_, .agentTime_ = confirmAgentTime(agent), .zonesRevision_ = evacuation_.revision() });
         }
     }
     for (Incarnation incarnation : expiredAgents)
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -35,7 +35,7 @@
 {
     const auto& labels = agent.report_.labels_;
     const std::string& required = job.request_.requiredLabel_;
-    if (!agent.isUsable() || agent.report_.service_ != job.queue_.service_ || !hasRoom(agent.report_.capacity_, {}, job.request_.need_))
+    if (!isUsable(agent) || agent.report_.service_ != job.queue_.service_ || !hasRoom(agent.report_.capacity_, {}, job.request_.need_))
         return false;
     return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
@@ -119,8 +119,8 @@
     std::size_t usable = 0;
     std::size_t suspect = 0;
     for (const auto& [incarnation, agent] : agents_) {
-        usable += agent.isUsable() ? 1 : 0;
-        suspect += agent.isUsable() && agent.report_.isSuspect_ ? 1 : 0;
+        usable += isUsable(agent) ? 1 : 0;
+        suspect += isUsable(agent) && agent.report_.isSuspect_ ? 1 : 0;
     }
     // If most targets are suspect, the tasks are the more likely cause.
     return suspect * 2 <= usable;
--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -63,7 +63,7 @@
 
 bool RunAgentCore::isOpen() const
 {
-    return target_.acceptsRuns() && hasLeaseAnswer_ && !isLeaseLost_ && !isShuttingDown_ && orphans_.empty();
+    return target_.acceptsRuns() && hasLeaseAnswer_ && !isLeaseLost_ && !isShuttingDown_ && orphans_.empty() && isZoneOpen();
 }
 
 RunAgentCore::RunId RunAgentCore::findNextToStart(Time now) const
@@ -359,6 +359,7 @@
         refuseQueued(NotStartedReason::Draining, now);
     else if (isLeaseLost_)
         refuseQueued(NotStartedReason::TargetUnavailable, now);
+    returnTasksOfEvacuatedZone(now);
     keepRenewalsInFlight(now);
     startFittingRuns(now);
     dropOverdue(now);
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -6,6 +6,7 @@
 #include "Lagoonpick/Run/ConfigurationFetch.h"
 #include "Lagoonpick/Run/EntrySelection.h"
 #include "Lagoonpick/Run/EntrySession.h"
+#include "Lagoonpick/Run/EvacuationState.h"
 #include "Lagoonpick/Run/RunAgentCoreSettings.h"
 #include "Lagoonpick/Run/RunTable.h"
 #include "Lagoonpick/Run/TargetMonitor.h"
@@ -90,6 +91,9 @@
     /// the link carries no run.
     std::set<std::string> selectEntries(std::set<std::string> listed, Time now);
     std::uint64_t configurationVersion() const { return configuration_.version_; }
+    const EvacuationState& evacuation() const { return evacuation_; }
+    /// True if it is known that the agent's availability zone is not evacuated. Otherwise nothing is started.
+    bool isZoneOpen() const { return evacuation_.permitsStarts(settings_.availabilityZone_); }
 
 private:
     using RunId = RunTable::Id;
@@ -108,6 +112,7 @@
     void handle(LinkId, const Wire::ConfigurationRequest&, Time now);
     void handle(LinkId, const Wire::ConfigurationCopy&, Time now);
     void handle(LinkId, const Wire::EntryAddresses&, Time now);
+    void handle(LinkId, const Wire::EvacuatedZones&, Time now);
     void handle(LinkId, const Wire::StartRun&, Time now);
     void handle(LinkId, const Wire::StopRun&, Time now);
     void handle(LinkId, const Wire::QueryRun&, Time now);
@@ -168,6 +173,10 @@
     void checkSessions(Time now);
     /// Detaches a session from its link. The entry's address is kept in `knownEntries_`, so that the agent reconnects.
     void dropLink(EntrySession& session, Time now);
+    void returnTasksOfEvacuatedZone(Time now);
+    /// Handles the revision of an entry's set of evacuated zones: sends it a newer one, or shows it that this agent's is older.
+    void exchangeZones(LinkId link, std::uint64_t peerRevision, Time now);
+    void sendHeartbeat(LinkId link, Time now);
     void sendHeartbeats(Time now);
     void sendReports(Time now);
     void markReportsDue();
@@ -191,6 +200,7 @@
     EntrySelection selection_;
     Wire::ConfigurationCopy configuration_;
     ConfigurationFetch configurationFetch_;
+    EvacuationState evacuation_;
     std::uint64_t fencingToken_;
     std::uint64_t lastCall_ { 0 };
 
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -158,7 +158,8 @@
         send(link, Wire::ConfigurationRequest { configuration_.version_ });
     // Shows the newer version to the entry at once: while reports are sent, regular heartbeats are not.
     if (configuration_.version_ > runHeartbeat.configurationVersion_)
-        send(link, Wire::RunHeartbeat { .configurationVersion_ = configuration_.version_, .agentTime_ = toAgentTime(now) });
+        sendHeartbeat(link, now);
+    exchangeZones(link, runHeartbeat.zonesRevision_, now);
 }
 
 void RunAgentCore::handle(LinkId link, const Wire::ConfigurationRequest& request, Time)
@@ -237,6 +238,8 @@
     NotStartedReason reason = NotStartedReason::None;
     if (isShuttingDown_ || target_.heartbeat().isDraining_)
         reason = NotStartedReason::Draining;
+    else if (!isZoneOpen())
+        reason = NotStartedReason::ZoneEvacuated;
     else if (!isOpen() || !hasContact(session, now) || !servesTask(target_.heartbeat(), message))
         reason = NotStartedReason::TargetUnavailable;
     else if (!hasRoom(target_.heartbeat().capacity_, {}, message.need_) || runs_.queuedCount() >= settings_.maxQueued_)
@@ -315,6 +318,11 @@
     }
 }
 
+void RunAgentCore::sendHeartbeat(LinkId link, Time now)
+{
+    send(link, Wire::RunHeartbeat { .configurationVersion_ = configuration_.version_, .agentTime_ = toAgentTime(now), .zonesRevision_ = evacuation_.revision() });
+}
+
 void RunAgentCore::sendHeartbeats(Time now)
 {
     for (auto& [incarnation, session] : sessions_) {
@@ -323,7 +331,7 @@
         if (now - session.lastSent_ < settings_.idleHeartbeatInterval_ && !hasRunsOf(incarnation))
             continue;
         session.lastSent_ = now;
-        send(*session.link_, Wire::RunHeartbeat { .configurationVersion_ = configuration_.version_, .agentTime_ = toAgentTime(now) });
+        sendHeartbeat(*session.link_, now);
     }
 }
 
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -24,6 +24,12 @@
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
     writeMetricHeader(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
+    writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
+    writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
+    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if the process knows none.");
+    writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
+    writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "1 if tasks may start in the agent's availability zone, else 0.");
+    writeMetric(text, "lagoonpick_zone_open", "", core.isZoneOpen() ? 1 : 0);
     writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
     writeMetric(text, "lagoonpick_entries", "", static_cast<double>(core.linkedEntryCount()));
     writeProcessMetrics(text, log, store.calls(), store.failures());
--- a/StandIns/UsersStoreStandIn.cpp
+++ b/StandIns/UsersStoreStandIn.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto tickInterval = std::chrono::milliseconds(20);
 constexpr auto slowResponseDelay = std::chrono::milliseconds(250);
+/// Items in a page of a range, so few that tests read several pages.
+constexpr std::size_t maxPageItems = 8;
 constexpr std::string_view keepPath = "/lagoonpick/kv-keep/";
 constexpr std::string_view endPath = "/lagoonpick/kv-lease-end/";
 
@@ -127,7 +129,7 @@
     if (path == "/lagoonpick/kv-key")
         response = readKey(query["key"]);
     else if (path == "/lagoonpick/kv-range")
-        response = readRange(query["prefix"]);
+        response = readRange(query["prefix"], query["after"]);
     else if (path == "/lagoonpick/kv-txn")
         response = write(request.body_);
     else if (path == "/lagoonpick/kv-lease")
@@ -153,14 +155,19 @@
     return respondWith(200, body);
 }
 
-HttpResponse UsersStoreStandIn::readRange(const std::string& prefix) const
+HttpResponse UsersStoreStandIn::readRange(const std::string& prefix, const std::string& after) const
 {
     json::array items;
+    bool hasMore = false;
     for (const auto& [key, stored] : store_.keys()) {
-        if (key.starts_with(prefix))
-            items.push_back(toItem(key, stored.value_, stored.modRevision_));
+        if (!key.starts_with(prefix) || key <= after)
+            continue;
+        hasMore = items.size() == maxPageItems;
+        if (hasMore)
+            break;
+        items.push_back(toItem(key, stored.value_, stored.modRevision_));
     }
-    return respondWith(200, { { "items", items }, { "has_more", false }, { "as_of", store_.revision() } });
+    return respondWith(200, { { "items", items }, { "has_more", hasMore }, { "as_of", store_.revision() } });
 }
 
 HttpResponse UsersStoreStandIn::write(const std::string& text)
--- a/StandIns/UsersStoreStandIn.h
+++ b/StandIns/UsersStoreStandIn.h
@@ -36,7 +36,8 @@
     /// Handles a request of a test, below /standin/; false if the request is none.
     bool handleControlRequest(const HttpRequest& request, const HttpServer::Respond& respond);
     HttpResponse readKey(const std::string& key) const;
-    HttpResponse readRange(const std::string& prefix) const;
+    /// The first page of the keys with this prefix that come after `after`.
+    HttpResponse readRange(const std::string& prefix, const std::string& after) const;
     HttpResponse write(const std::string& body);
     HttpResponse grant(const std::string& body);
     /// Answers the watches that have changes to report or have waited long enough.
--- a/UnitTests/Runs/EntrySelectionTest.cpp
+++ b/UnitTests/Runs/EntrySelectionTest.cpp
@@ -180,7 +180,7 @@
     agent.messages_.clear();
     for (int step = 0; step < 100; ++step) {
         if (step % 5 == 0)
-            agent.core_.receive(link, Wire::RunHeartbeat {}, agent.now_);
+            agent.core_.receive(link, Wire::RunHeartbeat { .zonesRevision_ = agent.core_.evacuation().revision() }, agent.now_);
         agent.answerLease({ .running_ = hasRun ? std::vector<RunningRow> { { { "job.0.0.1", 1 }, 0 } } : std::vector<RunningRow> {} });
         agent.advance(milliseconds(20));
     }
--- a/UnitTests/Runs/JobEntryFixture.h
+++ b/UnitTests/Runs/JobEntryFixture.h
@@ -33,6 +33,7 @@
     {
         core_.setQueues(makeQueues(1), "text");
         core_.confirmConfiguration(now_);
+        core_.setEvacuatedZones({ 1, {} }, now_);
         for (std::uint64_t i = 1; i <= agents; ++i)
             attach(i, 100 + i);
         collect();
--- a/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreLeaseTest.cpp
@@ -266,6 +266,7 @@
     core.receive(LeaseReply { .call_ = leases[0].call_, .answer_ = CallAnswer::Accepted, .clock_ = 5, .startedAt_ = 1, .running_ = {}, .ended_ = {} }, now);
     core.linkOpened(link, now);
     core.receive(link, Wire::EntryHello { .incarnation_ = Incarnation(1), .name_ = "entry", .address_ = "10.0.0.1:1" }, now);
+    core.receive(link, Wire::EvacuatedZones { 1, {} }, now);
     core.receive(link, Wire::StartRun { .run_ = 1, .task_ = "job.0.0.0", .service_ = "service", .need_ = { 1000, 10, 0 }, .waitMicroseconds_ = 1000, .agentTime_ = static_cast<std::uint64_t>(toUnixMilliseconds(now)) }, now);
     core.tick(now);
     CHECK(core.takeEffects().starts_.size() == (row.isOpen_ ? 1 : 0));
--- a/UnitTests/Runs/RunAgentFixture.h
+++ b/UnitTests/Runs/RunAgentFixture.h
@@ -18,7 +18,7 @@
 class RunAgentFixture {
 public:
     RunAgentFixture()
-        : core_(RunAgentCoreSettings { .name_ = "agent", .incarnation_ = Incarnation(7), .fencingToken_ = 100 })
+        : core_(RunAgentCoreSettings { .name_ = "agent", .availabilityZone_ = "zone", .incarnation_ = Incarnation(7), .fencingToken_ = 100 })
     {
         attach(link, Incarnation(1));
         sendHeartbeat();
@@ -30,6 +30,13 @@
     {
         core_.linkOpened(on, now_);
         core_.receive(on, Wire::EntryHello { .incarnation_ = entry, .name_ = "entry", .address_ = "10.0.0.1:1" }, now_);
+        sendZones(on, 1, {});
+    }
+
+    void sendZones(LinkId on, std::uint64_t revision, std::vector<std::string> names)
+    {
+        core_.receive(on, Wire::EvacuatedZones { revision, std::move(names) }, now_);
+        collect();
     }
 
     void sendHeartbeat(bool isDraining = false, std::uint64_t startedAt = 1, const std::string& id = "target")
--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -16,6 +16,7 @@
     if (const char* row = std::getenv("RUN_HISTORY_ROW"); row && row != faults.name_)
         return;
     std::uint64_t done = 0;
+    std::uint64_t startsAfterWithdrawal = 0;
     const std::uint64_t first = numberFromEnvironment("RUN_HISTORY_FIRST_SEED", 1);
     const std::uint64_t end = first + numberFromEnvironment("RUN_HISTORY_SEEDS", defaultSeeds);
     for (std::uint64_t seed = first; seed < end; ++seed) {
@@ -26,9 +27,11 @@
             UNSCOPED_INFO(text);
         CHECK(world.violations().empty());
         done += world.jobsDone();
+        startsAfterWithdrawal += world.startsAfterWithdrawal();
     }
     INFO(faults.name_);
     CHECK(done > 0);
+    CHECK((startsAfterWithdrawal > 0) == (faults.zoneChange_ > 0));
 }
 
 } // namespace
@@ -67,6 +70,22 @@
     checkHistories(faults, 12);
 }
 
+TEST_CASE("Nothing starts in a zone that was evacuated for some time, and a zone whose evacuation was withdrawn serves again", "[RunHistoryOfZones]")
+{
+    auto faults = GENERATE(values<RunFaults>({
+        { .name_ = "zones are evacuated", .zoneChange_ = 0.01, .load_ = 0.9 },
+        { .name_ = "zones are evacuated and withdrawn within a second", .zoneChange_ = 0.2, .zoneChangeMissed_ = 0.3, .zoneReadLate_ = 0.2 },
+        { .name_ = "zones are evacuated, entries miss it and read late", .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.5, .zoneReadLate_ = 0.5, .storeCut_ = 0.05 },
+        { .name_ = "zones are evacuated while entries and agents are killed", .agentKill_ = 0.02, .entryKill_ = 0.02, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3, .storeCut_ = 0.05 },
+        { .name_ = "zones are evacuated while agents are cut off", .linkReset_ = 0.02, .linkCut_ = 0.01, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3 },
+        { .name_ = "zones are evacuated while ways get slow by 600 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3, .zoneReadLate_ = 0.2 },
+        { .name_ = "zones are evacuated while targets restart and answers are lost", .targetRestart_ = 0.01, .targetCut_ = 0.01, .answerLoss_ = 0.05, .zoneChange_ = 0.01, .load_ = 1.2 },
+        { .name_ = "zones are evacuated while attachments change", .entryKill_ = 0.01, .linkReset_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 1, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3, .storeCut_ = 0.05 },
+        { .name_ = "zones are evacuated while processes are starved and freeze", .entrySuspension_ = 0.005, .agentSuspension_ = 0.005, .entryStall_ = 0.1, .agentStall_ = 0.1, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3 },
+    }));
+    checkHistories(faults, 12);
+}
+
 TEST_CASE("Messages that are handled late, and processes that get little processor time, make no two runs of a task overlap", "[RunHistoryOfLateMessages]")
 {
     auto faults = GENERATE(values<RunFaults>({
--- a/UnitTests/Runs/RunWorld.cpp
+++ b/UnitTests/Runs/RunWorld.cpp
@@ -129,6 +129,7 @@
     entry.isUp_ = true;
     entry.lastInputAt_ = now_;
     std::uint64_t incarnation = ++entry.incarnationCount_;
+    beginZoneReads(entry);
     for (auto& agent : agents_) {
         if (agent->isUp_ && agent->selected_.contains(entry.address_))
             connect(entry, *agent);
@@ -147,6 +148,7 @@
 {
     RunAgentCoreSettings settings;
     settings.name_ = agent.name_;
+    settings.availabilityZone_ = zoneOf(agent.index_);
     std::string host = "10.1.0." + std::to_string(agent.index_ + 1);
     settings.controlAddress_ = host + ":1";
     settings.targetAddress_ = host + ":2";
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -68,6 +68,14 @@
     double entryHidden_ { 0 };
     /// Number of entries that an agent attaches to; with fewer than there are, attachments change when entries are lost.
     std::uint32_t maxEntries_ { RunAgentCoreSettings().maxEntries_ };
+    /// Operators evacuate a zone, or withdraw its evacuation.
+    double zoneChange_ { 0 };
+    /// Share of these changes that an entry's watch does not report, so that it finds them by its next read.
+    double zoneChangeMissed_ { 0 };
+    /// Share of an entry's reads of the zones that are answered up to 1.5 s late.
+    double zoneReadLate_ { 0 };
+    /// An entry's reads of the zones get no answer for up to 2 s.
+    double storeCut_ { 0 };
     /// Share of requests whose callers disconnect within 0.3 s.
     double callerDisconnect_ { 0 };
     /// Longest time that a task takes.
@@ -100,6 +108,8 @@
     std::uint64_t jobsDone() const { return jobsDone_; }
     std::uint64_t jobsSent() const { return jobsSent_; }
     std::uint64_t tasksStarted() const { return tasksStarted_; }
+    /// Number of starts in zones whose evacuation was withdrawn before.
+    std::uint64_t startsAfterWithdrawal() const { return startsAfterWithdrawal_; }
     /// Number of messages between entries and agents that start, stop or end a run.
     std::uint64_t taskMessages() const { return taskMessages_; }
     /// Number of all other messages between entries and agents.
@@ -136,6 +146,17 @@
     /// Handles the end of a caller's request; `answer` is empty if the connection ended without one.
     void finishAttempt(std::uint64_t caller, std::optional<JobAnswer> answer);
     void injectFaults();
+    void injectZoneChanges();
+    void changeZone(const std::string& zone, bool isEvacuated);
+    /// Has an entry read the evacuated zones regularly.
+    void beginZoneReads(Entry& entry);
+    void readZones(Entry& entry, std::uint64_t incarnation);
+    /// The availability zone of a machine, by its index.
+    static std::string zoneOf(std::size_t machine);
+    /// Checks that no process in contact has an old set of zones.
+    void checkZones();
+    void checkStartsSent(const Agent& agent, const std::vector<StartCall>& starts);
+    void checkZoneOfStart(std::size_t machine, const RunName& name);
     void injectEntryFaults();
     void injectAgentFaults();
     void injectTargetFaults(Agent& agent);
@@ -245,6 +266,14 @@
         std::string requiredLabel_;
     };
     std::map<std::string, JobRecord> jobs_;
+    /// Whether operators have evacuated a zone, and since when.
+    struct ZoneChange {
+        bool isEvacuated_ { false };
+        Time at_;
+    };
+    std::map<std::string, ZoneChange> zoneChanges_;
+    std::uint64_t storeRevision_ { 1 };
+    std::uint64_t startsAfterWithdrawal_ { 0 };
     std::vector<std::string> violations_;
     std::uint64_t jobsDone_ { 0 };
     std::uint64_t jobsSent_ { 0 };
--- a/UnitTests/Runs/RunWorldFaults.cpp
+++ b/UnitTests/Runs/RunWorldFaults.cpp
@@ -221,6 +221,7 @@
     injectEntryFaults();
     injectAgentFaults();
     injectLinkFaults();
+    injectZoneChanges();
 }
 
 } // namespace Lagoonpick
--- a/UnitTests/Runs/RunWorldParts.h
+++ b/UnitTests/Runs/RunWorldParts.h
@@ -59,6 +59,8 @@
     Time suspendedUntil_;
     /// When the process last handled an input.
     Time lastInputAt_;
+    /// Until this time, reads of the evacuated zones get no answer.
+    Time storeCutUntil_;
     /// Inputs that arrived while the process was suspended.
     std::vector<std::function<void()>> pendingInputs_;
 };
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -47,6 +47,7 @@
     }
     for (auto& item : effects.messages_)
         transmit(findLink(item.link_), false, std::move(item.message_));
+    checkStartsSent(agent, effects.starts_);
     for (const auto& start : effects.starts_)
         sendStart(agent, start);
     for (const auto& stop : effects.stops_)
@@ -63,6 +64,8 @@
             CallReply answer = target.receive(start, now_, isLate);
             if (agent.drainAcknowledgedAt_ && answer.answer_ == CallAnswer::Accepted && !isLate && now_ - *agent.drainAcknowledgedAt_ > drainGracePeriod)
                 reportViolation("task started on a draining target: " + start.name_.task_);
+            if (answer.answer_ == CallAnswer::Accepted && !isLate)
+                checkZoneOfStart(agent.index_, start.name_);
             bool hasCrashed = faults_.crashAtStart_ > 0 && answer.answer_ == CallAnswer::Accepted && chance(faults_.crashAtStart_);
             if (hasCrashed)
                 restartTarget(agent);
