--- a/Control/JobHistory.cpp
+++ b/Control/JobHistory.cpp
@@ -18,10 +18,10 @@
 constexpr std::int64_t contextMilliseconds = 2000;
 
 /// Events that report a process's start, suspension or stop, or a change of its view of the system.
-constexpr std::array<std::string_view, 24> contextEvents { "agent_attached", "agent_forgotten", "agent_lost", "agent_silent",
+constexpr std::array<std::string_view, 25> contextEvents { "agent_attached", "agent_forgotten", "agent_lost", "agent_silent",
     "configuration_installed", "configuration_unreadable", "entry_attached", "entry_lost", "entry_silent", "registered", "registration_lost",
     "resumed", "runs_lost", "runs_stopped", "started", "stopped", "stopping", "store_lost", "store_regained", "target_began",
-    "target_changed", "target_draining", "target_lost", "target_regained" };
+    "target_changed", "target_draining", "target_lost", "target_regained", "zones_evacuated" };
 
 bool isContextEvent(std::string_view event)
 {
--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -36,6 +36,8 @@
         return "fenced";
     if (formatValue(object, "draining") == "true")
         return "draining";
+    if (formatValue(object, "zone_open") == "false")
+        return "zone closed";
     if (formatValue(object, "registered") == "false")
         return "registering";
     return "serving";
@@ -54,6 +56,21 @@
     return member && member->is_array() ? member->get_array() : json::array();
 }
 
+/// The evacuated zones that a process knows, with revision and age; empty if its dump has none.
+std::string describeEvacuation(const json::object& object)
+{
+    const auto* member = object.if_contains("evacuation");
+    if (!member || !member->is_object())
+        return {};
+    const auto& evacuation = member->get_object();
+    std::string names;
+    for (const auto& zone : readArray(evacuation, "zones")) {
+        if (zone.is_string())
+            names += (names.empty() ? "" : " ") + std::string(zone.get_string());
+    }
+    return fmt::format(", evacuated: {} (revision {}, for {} ms)", names.empty() ? "none" : names, formatValue(evacuation, "revision"), formatValue(evacuation, "age_ms"));
+}
+
 /// An entry on the users' platform. Its dump counts open jobs, shown as running, and lists its agents with the state of their
 /// targets.
 std::string writeJobEntryRow(const std::string& address, const json::object& object)
@@ -68,14 +85,14 @@
     }
     auto suspect = std::count_if(agents.begin(), agents.end(), [](const auto& row) { return isTrue(row, "suspect"); });
     return writeRow({ address, "entry", formatValue(object, "entry"), "configuration " + formatValue(object, "configuration"), formatValue(object, "ready") == "true" ? "serving" : "not ready", "-", formatValue(object, "jobs"),
-        fmt::format("{} of {} targets open, {} suspect, oldest report {} ms", open, agents.size(), suspect, oldestReport) });
+        fmt::format("{} of {} targets open, {} suspect, oldest report {} ms", open, agents.size(), suspect, oldestReport) + describeEvacuation(object) });
 }
 
 std::string writeRunAgentRow(const std::string& address, const json::object& object)
 {
     const json::array entries = readArray(object, "entries");
     auto linked = std::count_if(entries.begin(), entries.end(), [](const auto& row) { return isTrue(row, "linked"); });
-    return writeRow({ address, "agent", formatValue(object, "agent"), "configuration " + formatValue(object, "configuration"), conditionOf(object), "-", formatValue(object, "runs"), fmt::format("target {}, {} of {} entries linked", formatValue(object, "target"), linked, entries.size()) });
+    return writeRow({ address, "agent", formatValue(object, "agent"), "configuration " + formatValue(object, "configuration"), conditionOf(object), "-", formatValue(object, "runs"), fmt::format("target {}, {} of {} entries linked", formatValue(object, "target"), linked, entries.size()) + describeEvacuation(object) });
 }
 
 std::string writeProcessRow(const ProcessState& state)
--- a/UnitTests/Control/JobHistoryTest.cpp
+++ b/UnitTests/Control/JobHistoryTest.cpp
@@ -62,12 +62,13 @@
 {
     const std::vector<ProcessState> states {
         { "10.0.0.1:1", R"({"role":"entry","name":"e","incarnation":"i","registered":true,"tasks_pending":3,"tasks_outstanding":4})" },
-        { "10.0.0.2:1", R"({"entry":"entry-1","ready":true,"configuration":7,"jobs":5,"agents":[{"linked":true,"open":true,"suspect":false,"runs":2,"report_age_ms":140},{"linked":true,"open":false,"suspect":true,"runs":0}]})" },
+        { "10.0.0.2:1", R"({"entry":"entry-1","ready":true,"configuration":7,"evacuation":{"zones":["a","b"],"revision":12,"age_ms":340},"jobs":5,"agents":[{"linked":true,"open":true,"suspect":false,"runs":2,"report_age_ms":140},{"linked":true,"open":false,"suspect":true,"runs":0}]})" },
         { "10.0.0.3:1", R"({"agent":"agent-1","target":"t","born_ms":1,"draining":true,"runs":6,"configuration":7,"entries":[{"entry":"entry-1","linked":true,"leaving":false},{"entry":"entry-2","linked":false,"leaving":false}]})" },
         { "10.0.0.4:1", "" },
+        { "10.0.0.5:1", R"({"agent":"agent-2","target":"t","born_ms":1,"draining":false,"runs":0,"configuration":7,"evacuation":{"zones":[],"revision":0,"age_ms":0},"zone_open":false,"entries":[]})" },
     };
     auto table = writeStatus(states);
-    for (const auto* part : { "entry-1", "1 of 2 targets open", "oldest report 140 ms", "1 of 2 entries linked", "agent-1", "draining", "no answer", "serving" })
+    for (const auto* part : { "entry-1", "1 of 2 targets open", "oldest report 140 ms", "1 of 2 entries linked", "agent-1", "draining", "no answer", "serving", "evacuated: a b (revision 12, for 340 ms)", "evacuated: none (revision 0", "zone closed" })
         CHECK(table.find(part) != std::string::npos);
 }
 
