--- a/UnitTests/Runs/RunHistoryTest.cpp
+++ b/UnitTests/Runs/RunHistoryTest.cpp
@@ -81,6 +81,7 @@
         { .name_ = "zones are evacuated while ways get slow by 600 ms", .slowWay_ = 0.03, .maxLatency_ = milliseconds(600), .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3, .zoneReadLate_ = 0.2 },
         { .name_ = "zones are evacuated while targets restart and answers are lost", .targetRestart_ = 0.01, .targetCut_ = 0.01, .answerLoss_ = 0.05, .zoneChange_ = 0.01, .load_ = 1.2 },
         { .name_ = "zones are evacuated while attachments change", .entryKill_ = 0.01, .linkReset_ = 0.02, .entryHidden_ = 0.05, .maxEntries_ = 1, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3, .storeCut_ = 0.05 },
+        { .name_ = "zones are evacuated while entries and agents start anew and the store does not answer", .agentKill_ = 0.05, .entryKill_ = 0.05, .maxEntries_ = 1, .zoneChange_ = 0.01, .storeCut_ = 0.05 },
         { .name_ = "zones are evacuated while processes are starved and freeze", .entrySuspension_ = 0.005, .agentSuspension_ = 0.005, .entryStall_ = 0.1, .agentStall_ = 0.1, .zoneChange_ = 0.01, .zoneChangeMissed_ = 0.3 },
     }));
     checkHistories(faults, 12);
