--- a/Control/JobHistory.cpp
+++ b/Control/JobHistory.cpp
@@ -21,7 +21,7 @@
 constexpr std::array<std::string_view, 25> contextEvents { "agent_attached", "agent_forgotten", "agent_lost", "agent_silent",
     "configuration_installed", "configuration_unreadable", "entry_attached", "entry_lost", "entry_silent", "registered", "registration_lost",
     "resumed", "runs_lost", "runs_stopped", "started", "stopped", "stopping", "store_lost", "store_regained", "target_began",
-    "target_changed", "target_draining", "target_lost", "target_regained", "zones_evacuated" };
+    "target_changed", "target_draining", "target_lost", "target_regained", "evacuation_changed" };
 
 bool isContextEvent(std::string_view event)
 {
--- a/Control/StateReport.cpp
+++ b/Control/StateReport.cpp
@@ -30,6 +30,13 @@
     return text + (row.remark_.empty() ? "" : "  " + row.remark_) + "\n";
 }
 
+/// True if the process knows which zones are evacuated.
+bool knowsZones(const json::object& object)
+{
+    const auto* member = object.if_contains("evacuation");
+    return member && member->is_object() && formatValue(member->get_object(), "revision") != "0";
+}
+
 std::string conditionOf(const json::object& object)
 {
     if (formatValue(object, "fenced") == "true")
@@ -37,7 +44,7 @@
     if (formatValue(object, "draining") == "true")
         return "draining";
     if (formatValue(object, "zone_open") == "false")
-        return "zone closed";
+        return knowsZones(object) ? "zone closed" : "zones not known";
     if (formatValue(object, "registered") == "false")
         return "registering";
     return "serving";
@@ -62,6 +69,8 @@
     const auto* member = object.if_contains("evacuation");
     if (!member || !member->is_object())
         return {};
+    if (!knowsZones(object))
+        return ", evacuated: not known";
     const auto& evacuation = member->get_object();
     std::string names;
     for (const auto& zone : readArray(evacuation, "zones")) {
--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -45,7 +45,7 @@
     })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , store_(context, settings_.storeAddress_)
-    , operatorWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this](const UsersPlatform::EvacuationReading& reading) { recordZones(reading); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
+    , operatorWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this] { logFault("configuration_unreadable", "store", "the item can't be decoded"); }, [this](const UsersPlatform::EvacuationReading& reading) { recordZones(reading); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
 {
@@ -170,7 +170,7 @@
 void JobEntryHost::recordZones(const UsersPlatform::EvacuationReading& reading)
 {
     Time now = beginInput();
-    for (const auto& key : reading.unreadableKeys_)
+    for (const auto& key : reading.ignoredKeys_)
         logFault("evacuation_unreadable", "store", key);
     core_.setEvacuatedZones(reading.zones_, now);
     loop_.scheduleTick();
@@ -247,9 +247,9 @@
 
 void JobEntryHost::continueShutdown(Time now)
 {
-    bool isAccepting = now - *shutdownAt_ < settings_.job_.shutdownAcceptance_;
+    bool mustListen = now - *shutdownAt_ < settings_.job_.minListenTime_;
     bool isOver = now - *shutdownAt_ >= settings_.job_.shutdownTimeout_;
-    if (isAccepting || (front_.busyConnections() && !isOver))
+    if (mustListen || (front_.busyConnections() && !isOver))
         return;
     log(LogLine("stopped").milliseconds("after_ms", now - *shutdownAt_).number("connections", front_.busyConnections()));
     log_.flush();
--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -28,7 +28,7 @@
     writeMetric(text, "lagoonpick_configuration_version", "", static_cast<double>(core.configurationVersion()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
     writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
-    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if the process knows none.");
+    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if no set is known.");
     writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
     writeMetricHeader(text, "lagoonpick_agents", "gauge", "Agents with a link.");
     writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.linkedAgentCount()));
--- a/JobEntry/OperatorWatch.cpp
+++ b/JobEntry/OperatorWatch.cpp
@@ -57,11 +57,15 @@
     const auto& range = result.value();
     events_.onZonesRead_(UsersPlatform::decodeEvacuations(range));
     auto configuration = std::find_if(range.items_.begin(), range.items_.end(), [](const auto& item) { return item.key_ == UsersPlatform::configurationKey; });
-    if (configuration == range.items_.end())
+    if (configuration == range.items_.end()) {
+        bool isThere = std::find(range.keys_.begin(), range.keys_.end(), UsersPlatform::configurationKey) != range.keys_.end();
+        if (isThere)
+            events_.onConfigurationUnreadable_();
         co_return false;
+    }
     revision_ = range.revision_;
-    events_.onChanged_(configuration->value_);
-    events_.onConfirmed_(sentAt);
+    events_.onConfigurationChanged_(configuration->value_);
+    events_.onConfigurationConfirmed_(sentAt);
     isReadDue_ = false;
     co_return true;
 }
@@ -74,7 +78,7 @@
         co_return false;
     for (const auto& item : result.value().items_) {
         if (item.key_ == UsersPlatform::configurationKey)
-            events_.onChanged_(item.value_);
+            events_.onConfigurationChanged_(item.value_);
     }
     revision_ = result.value().revision_;
     // A set of zones built from events would be wrong after a lost one, so that a change of a zone only causes a read.
--- a/JobEntry/OperatorWatch.h
+++ b/JobEntry/OperatorWatch.h
@@ -8,20 +8,22 @@
 
 namespace Lagoonpick {
 
-/// Follows what operators write into the platform's store: the configuration and the evacuated zones. Watches for changes, and reads all at the
-/// start, after a watch failed (for instance because the store no longer keeps the history), and after a number of
-/// watches, because a watch may miss a change.
+/// Follows what operators write into the platform's store: the configuration and the evacuated zones. Watches for changes, and
+/// reads everything at the start, after a watch failed (for instance because the store no longer keeps the history), and after a
+/// number of watches, because a watch may miss a change.
 ///
 /// Used from one thread only: the one that runs its `io_context`.
 class OperatorWatch {
 public:
     struct Events {
         /// Called with the configuration's text after each read, and for each change that a watch returns.
-        std::function<void(const std::string& text)> onChanged_;
+        std::function<void(const std::string& text)> onConfigurationChanged_;
+        /// Called after a read in which the configuration's item could not be decoded.
+        std::function<void()> onConfigurationUnreadable_;
         /// Called with the evacuated zones after each read.
         std::function<void(const UsersPlatform::EvacuationReading&)> onZonesRead_;
-        /// A read that was sent at `sentAt` has shown that the configuration last passed to `onChanged_` was the newest then or later.
-        std::function<void(Time sentAt)> onConfirmed_;
+        /// A read that was sent at `sentAt` has shown that the configuration last passed to `onConfigurationChanged_` was the newest then or later.
+        std::function<void(Time sentAt)> onConfigurationConfirmed_;
         /// A call to the store failed; called once until a call succeeds again.
         std::function<void(const Error&)> onStoreLost_;
         /// A call succeeded after one that failed.
--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -98,8 +98,6 @@
     job.deadline_ = now + request.callerTimeout_ - settings_.answerMargin_;
     job.tasks_.resize(request.taskCount_);
     Admission admission = admit(job, now);
-    if (admission.failureReason_ == JobFailureReason::None && !endsBeforeShutdown(admission, now))
-        admission.failureReason_ = JobFailureReason::ShuttingDown;
     if (admission.failureReason_ != JobFailureReason::None)
         return reject(caller, request, admission);
     ++counters_.accepted_;
@@ -289,7 +287,7 @@
     std::size_t usable = std::count_if(agents_.begin(), agents_.end(), [this](const auto& row) { return isUsable(row.second); });
     LogLine line("job_rejected");
     line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("zones_revision", evacuation_.revision()).number("zones_evacuated", evacuation_.set().names_.size()).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
-    if (admission.failureReason_ == JobFailureReason::Overloaded && admission.finishLimit_.count())
+    if (admission.finishLimit_.count())
         line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
     Duration comeBackAfter = retryAfter(admission);
     log(std::move(line.milliseconds("retry_after_ms", comeBackAfter)));
@@ -334,11 +332,9 @@
     }
 }
 
-/// Handles the load pattern of a rolling restart: callers keep connections on which they send jobs to an entry that has left the
-/// load balancer's rotation and waits for its last jobs. A job that can end meanwhile is accepted, since a rejection is final.
-bool JobEntryCore::endsBeforeShutdown(const Admission& admission, Time now) const
+Time JobEntryCore::shutdownEnd() const
 {
-    return !shutdownAt_ || now + admission.expectedFinish_ <= *shutdownAt_ + settings_.shutdownTimeout_ - settings_.answerMargin_;
+    return shutdownAt_ ? *shutdownAt_ + settings_.shutdownTimeout_ : Time::max();
 }
 
 void JobEntryCore::beginShutdown(Time now)
@@ -368,7 +364,7 @@
     std::vector<JobKey> keys;
     for (const auto& [key, job] : jobs_)
         keys.push_back(key);
-    bool isShutdownOver = shutdownAt_ && now - *shutdownAt_ >= settings_.shutdownTimeout_;
+    bool isShutdownOver = now >= shutdownEnd();
     std::vector<JobKey> unplaced;
     for (JobKey key : keys) {
         HeldJob& job = jobs_[key];
@@ -379,7 +375,7 @@
         else if (std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const auto& task) { return task.waitsForPlace(); }))
             unplaced.push_back(key);
     }
-    // As agents start what waits with them.
+    // By priority, then by when the job is due.
     auto order = [this](JobKey key) { return std::pair(jobs_[key].queue_.priority_, jobs_[key].due_); };
     std::sort(unplaced.begin(), unplaced.end(), [&](JobKey left, JobKey right) { return order(left) < order(right); });
     for (JobKey key : unplaced)
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -120,7 +120,7 @@
     void handle(LinkId link, const auto&, Time) { effects_.linksToAbort_.push_back(link); }
 
     /// Logs a change of the evacuated zones and sends them to all linked agents.
-    void zonesChanged(std::string_view source);
+    void publishZones(std::string_view source);
     void sendZones(LinkId link);
     /// True if tasks can be placed on the agent's target.
     bool isUsable(const AgentRow& agent) const;
@@ -153,8 +153,8 @@
         Duration reportAge_ {};
     };
     Admission admit(const HeldJob& job, Time now);
-    /// True unless the entry is shutting down and will have given up its jobs by the expected end of this one.
-    bool endsBeforeShutdown(const Admission& admission, Time now) const;
+    /// When the entry gives up the jobs that it holds; `Time::max()` unless it is shutting down.
+    Time shutdownEnd() const;
     /// Starts a task on the best agent, if any; otherwise the task waits for a later tick.
     void place(JobKey key, HeldJob& job, std::uint32_t task, Time now);
     /// Random sample of the agents whose targets could run a task, split by whether they currently seem to have room.
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -61,14 +61,16 @@
     return expected > 0 ? scale(finish, static_cast<double>(job.shortestWork_.count()) / expected) : finish;
 }
 
-/// Handles the load pattern of a burst in which queued tasks begin close to their latest start. The time until a job is due grows with
-/// its actual work, which may exceed the expected one by the same factor by which it may fall short of it. Before that time is over
-/// too, a task must not be treated as one that can't end when it is due.
+/// Handles the load pattern of a burst in which queued tasks begin close to their latest start. A job's due time is computed from its
+/// expected work; with more work it is due later. The work may exceed the expected one by the factor by which it may fall short of
+/// it, so the task counts as one that can end in time until then, but not beyond the time at which it must start to end at all
+/// while its caller waits.
 Time JobEntryCore::latestStart(const HeldJob& job, Duration run)
 {
     double shortest = static_cast<double>(std::max<Duration::rep>(job.shortestWork_.count(), 1));
     Duration longest = scale(job.work_, static_cast<double>(job.work_.count()) / shortest);
-    return job.due_ - run + scale(longest - job.work_, std::max(job.queue_.slackFactor_ - 1, 0.0));
+    Time latestDue = job.due_ + scale(longest - job.work_, std::max(job.queue_.slackFactor_ - 1, 0.0));
+    return std::min(latestDue, std::max(job.due_, job.deadline_)) - run;
 }
 
 StartOrder JobEntryCore::startOrder(const HeldJob& job, const AgentRow& agent, Time now) const
@@ -118,9 +120,12 @@
         best->load_.unseen_ = best->load_.unseen_ + job.request_.need_;
         admission.expectedFinish_ = std::max(admission.expectedFinish_, earliest);
     }
-    admission.finishLimit_ = job.deadline_ - now;
+    // An entry that shuts down still accepts jobs that can end before it stops: they come over connections that callers keep open,
+    // and a rejection would be final.
+    const bool isLimitedByShutdown = shutdownEnd() < job.deadline_ + settings_.answerMargin_;
+    admission.finishLimit_ = isLimitedByShutdown ? shutdownEnd() - settings_.answerMargin_ - now : job.deadline_ - now;
     if (admission.expectedFinish_ > admission.finishLimit_)
-        admission.failureReason_ = JobFailureReason::Overloaded;
+        admission.failureReason_ = isLimitedByShutdown ? JobFailureReason::ShuttingDown : JobFailureReason::Overloaded;
     return admission;
 }
 
--- a/Lagoonpick/Job/JobEntryCoreZones.cpp
+++ b/Lagoonpick/Job/JobEntryCoreZones.cpp
@@ -9,17 +9,17 @@
 void JobEntryCore::setEvacuatedZones(Wire::EvacuatedZones zones, Time now)
 {
     if (evacuation_.recordRead(std::move(zones), now))
-        zonesChanged("store");
+        publishZones("store");
 }
 
 void JobEntryCore::handle(LinkId link, const Wire::EvacuatedZones& zones, Time now)
 {
     const AgentRow* agent = findAgent(link);
     if (evacuation_.merge(zones, now))
-        zonesChanged(agent ? agent->name_ : "entry");
+        publishZones(agent ? agent->name_ : "entry");
 }
 
-void JobEntryCore::zonesChanged(std::string_view source)
+void JobEntryCore::publishZones(std::string_view source)
 {
     std::size_t excluded = std::count_if(agents_.begin(), agents_.end(), [this](const auto& row) { return evacuation_.contains(row.second.availabilityZone_); });
     log(std::move(describeChange(evacuation_, source).number("targets", agents_.size()).number("excluded", excluded)));
--- a/Lagoonpick/Run/EvacuationState.cpp
+++ b/Lagoonpick/Run/EvacuationState.cpp
@@ -76,7 +76,7 @@
 
 LogLine describeChange(const EvacuationState& state, std::string_view source)
 {
-    LogLine line("zones_evacuated");
+    LogLine line("evacuation_changed");
     line.text("zones", joinNames(state.set().names_)).number("count", state.set().names_.size()).number("revision", state.revision()).text("source", source);
     return line;
 }
--- a/Lagoonpick/Run/EvacuationState.h
+++ b/Lagoonpick/Run/EvacuationState.h
@@ -31,8 +31,8 @@
     bool replace(Wire::EvacuatedZones set, Time now);
 
     Wire::EvacuatedZones set_;
-    /// The highest revision at which the store was seen to hold these names, by this process. Not passed on as long as the names stay:
-    /// it rises with each read, and each rise would be sent over all links.
+    /// Revision of the latest read that was applied. Not passed on while the names stay the same, because it rises with every write to
+    /// the store.
     std::uint64_t confirmedRevision_ { 0 };
     Time changedAt_;
 };
--- a/Lagoonpick/Run/RunAgentCoreZones.cpp
+++ b/Lagoonpick/Run/RunAgentCoreZones.cpp
@@ -10,6 +10,11 @@
     if (!evacuation_.merge(zones, now))
         return;
     log(std::move(describeChange(evacuation_, sessionOf(link)->name_).flag("open", isZoneOpen()).number("running", runs_.rows().size() - runs_.queuedCount()).number("waiting", runs_.queuedCount())));
+    // Before the tasks that are returned, so that no entry places them in the zone again.
+    for (const auto& [other, incarnation] : links_) {
+        if (other != link)
+            send(other, evacuation_.set());
+    }
     returnTasksOfEvacuatedZone(now);
     if (wasPermitted != isZoneOpen())
         markReportsDue();
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -86,7 +86,7 @@
     /// From an agent: when it sent this, in milliseconds of its own clock. From an entry: the latest such time that it has received
     /// from this agent, 0 if none. So the agent knows of which moment the entry's message tells, however long it was on its way.
     std::uint64_t agentTime_ { 0 };
-    /// `EvacuatedZones::revision_` of the set that the sender has; 0 if it knows none.
+    /// `EvacuatedZones::revision_` of the set that the sender has; 0 if it has no set.
     std::uint64_t zonesRevision_ { 0 };
     bool operator==(const RunHeartbeat&) const = default;
 };
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -26,7 +26,7 @@
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
     writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
-    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if the process knows none.");
+    writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if no set is known.");
     writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
     writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "1 if tasks may start in the agent's availability zone, else 0.");
     writeMetric(text, "lagoonpick_zone_open", "", core.isZoneOpen() ? 1 : 0);
--- a/UnitTests/Control/JobHistoryTest.cpp
+++ b/UnitTests/Control/JobHistoryTest.cpp
@@ -66,9 +66,11 @@
         { "10.0.0.3:1", R"({"agent":"agent-1","target":"t","born_ms":1,"draining":true,"runs":6,"configuration":7,"entries":[{"entry":"entry-1","linked":true,"leaving":false},{"entry":"entry-2","linked":false,"leaving":false}]})" },
         { "10.0.0.4:1", "" },
         { "10.0.0.5:1", R"({"agent":"agent-2","target":"t","born_ms":1,"draining":false,"runs":0,"configuration":7,"evacuation":{"zones":[],"revision":0,"age_ms":0},"zone_open":false,"entries":[]})" },
+        { "10.0.0.6:1", R"({"agent":"agent-3","target":"t","born_ms":1,"draining":false,"runs":0,"configuration":7,"evacuation":{"zones":["a"],"revision":3,"age_ms":1},"zone_open":false,"entries":[]})" },
+        { "10.0.0.7:1", R"({"agent":"agent-4","target":"t","born_ms":1,"draining":false,"runs":0,"configuration":7,"evacuation":{"zones":[],"revision":4,"age_ms":1},"zone_open":true,"entries":[]})" },
     };
     auto table = writeStatus(states);
-    for (const auto* part : { "entry-1", "1 of 2 targets open", "oldest report 140 ms", "1 of 2 entries linked", "agent-1", "draining", "no answer", "serving", "evacuated: a b (revision 12, for 340 ms)", "evacuated: none (revision 0", "zone closed" })
+    for (const auto* part : { "entry-1", "1 of 2 targets open", "oldest report 140 ms", "1 of 2 entries linked", "agent-1", "draining", "no answer", "serving", "evacuated: a b (revision 12, for 340 ms)", "evacuated: not known", "zones not known", "zone closed", "evacuated: none (revision 4" })
         CHECK(table.find(part) != std::string::npos);
 }
 
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -148,6 +148,7 @@
     void injectFaults();
     void injectZoneChanges();
     void changeZone(const std::string& zone, bool isEvacuated);
+    void scheduleZoneReads(Entry& entry, std::uint64_t incarnation, Duration delay);
     /// Has an entry read the evacuated zones regularly.
     void beginZoneReads(Entry& entry);
     void readZones(Entry& entry, std::uint64_t incarnation);
--- a/UnitTests/Runs/RunWorldZones.cpp
+++ b/UnitTests/Runs/RunWorldZones.cpp
@@ -32,14 +32,17 @@
         entry.core_->setEvacuatedZones({ 1, {} }, now_);
         return;
     }
-    auto reads = std::make_shared<std::function<void()>>();
-    *reads = [this, &entry, incarnation = entry.incarnationCount_, reads] {
+    scheduleZoneReads(entry, entry.incarnationCount_, watchDelay);
+}
+
+void RunWorld::scheduleZoneReads(Entry& entry, std::uint64_t incarnation, Duration delay)
+{
+    at(now_ + delay, [this, &entry, incarnation] {
         if (entry.incarnationCount_ != incarnation || !entry.isUp_)
             return;
         readZones(entry, incarnation);
-        at(now_ + zoneReadInterval, *reads);
-    };
-    at(now_ + watchDelay, *reads);
+        scheduleZoneReads(entry, incarnation, zoneReadInterval);
+    });
 }
 
 void RunWorld::readZones(Entry& entry, std::uint64_t incarnation)
--- a/UnitTests/UsersPlatform/EvacuationCodecTest.cpp
+++ b/UnitTests/UsersPlatform/EvacuationCodecTest.cpp
@@ -22,7 +22,7 @@
     CHECK(page.value().items_.size() == 4);
     auto reading = decodeEvacuations({ page.value().items_, page.value().keys_, page.value().revision_ });
     CHECK(reading.zones_ == Wire::EvacuatedZones { 9, { "a", "a/x y", "b" } });
-    CHECK(reading.unreadableKeys_.empty());
+    CHECK(reading.ignoredKeys_.empty());
 }
 
 // Guards against: a name that no frame may hold closed the links over which the set was sent.
@@ -32,12 +32,12 @@
     RangeResult range { {}, { prefix, prefix + std::string(256, 'x'), prefix + std::string(257, 'x'), prefix + "\xff", prefix + "a" }, 9 };
     auto reading = decodeEvacuations(range);
     CHECK(reading.zones_ == Wire::EvacuatedZones { 9, { "a", std::string(256, 'x') } });
-    CHECK(reading.unreadableKeys_ == std::vector<std::string> { prefix, prefix + std::string(257, 'x'), prefix + "\xff" });
+    CHECK(reading.ignoredKeys_ == std::vector<std::string> { prefix, prefix + std::string(257, 'x'), prefix + "\xff" });
     for (int zone = 0; zone < 2000; ++zone)
         range.keys_.push_back(prefix + "b" + std::to_string(zone));
     reading = decodeEvacuations(range);
     CHECK(reading.zones_.names_.size() == 1024);
-    CHECK(reading.unreadableKeys_.size() == 3 + 2002 - 1024);
+    CHECK(reading.ignoredKeys_.size() == 3 + 2002 - 1024);
 }
 
 // Guards against: a removal that is no item went unnoticed until the next periodic read.
