--- a/UnitTests/Runs/RunWorldZones.cpp
+++ b/UnitTests/Runs/RunWorldZones.cpp
@@ -101,18 +101,18 @@
 
 void RunWorld::checkZones()
 {
-    auto isStale = [this](const EvacuationState& state, const std::string& zone) {
+    auto isStale = [this](const EvacuationState& state, const std::string& zone, Time inContactSince) {
         const ZoneChange& change = zoneChanges_[zone];
-        return state.isKnown() && state.contains(zone) != change.isEvacuated_ && now_ - change.at_ > maxZoneChangeTime;
+        return state.isKnown() && state.contains(zone) != change.isEvacuated_ && now_ - std::max(change.at_, inContactSince) > maxZoneChangeTime;
     };
     for (const auto& agent : agents_) {
         bool isInContact = agent->isUp_ && !agent->isReplaced_ && now_ >= agent->suspendedUntil_ && agent->core_->linkedEntryCount() == entries_.size();
-        if (isInContact && isStale(agent->core_->evacuation(), zoneOf(agent->index_)))
+        if (isInContact && isStale(agent->core_->evacuation(), zoneOf(agent->index_), Time()))
             reportViolation("agent " + std::to_string(agent->index_) + " has an old set of zones");
     }
     for (const auto& entry : entries_) {
         for (std::size_t i = 0; i < zoneCount; ++i) {
-            if (entry->isUp_ && now_ >= entry->suspendedUntil_ && isStale(entry->core_->evacuation(), zoneOf(i)))
+            if (entry->isUp_ && now_ >= entry->suspendedUntil_ && isStale(entry->core_->evacuation(), zoneOf(i), entry->storeCutUntil_))
                 reportViolation("entry " + entry->address_ + " has an old set of zones");
         }
     }
