RunsProgramTest: evacuation and withdrawal with running programs; the soak evacuates a zone

The soak's agents are in two zones by turns. The help text of lagoonpick_zone_open began with '1', so that a search for its value found it.

--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -28,7 +28,7 @@
     writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if the process knows none.");
     writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
-    writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "1 if tasks may start in the agent's availability zone, else 0.");
+    writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "Whether tasks may start in the availability zone of the agent: 1 or 0.");
     writeMetric(text, "lagoonpick_zone_open", "", core.isZoneOpen() ? 1 : 0);
     writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
     writeMetric(text, "lagoonpick_entries", "", static_cast<double>(core.linkedEntryCount()));
--- a/Soak/FaultInjector.cpp
+++ b/Soak/FaultInjector.cpp
@@ -52,10 +52,10 @@
 
 void FaultInjector::injectFault()
 {
-    static constexpr std::array<NamedFault, 12> entryFaults { { { "entry-kill", &FaultInjector::killEntry }, { "entry-freeze", &FaultInjector::suspendEntry }, { "entry-term", &FaultInjector::shutDownEntry },
+    static constexpr std::array<NamedFault, 13> entryFaults { { { "entry-kill", &FaultInjector::killEntry }, { "entry-freeze", &FaultInjector::suspendEntry }, { "entry-term", &FaultInjector::shutDownEntry },
         { "link-silence", &FaultInjector::silenceLink }, { "store", &FaultInjector::injectStoreFault }, { "configure", &FaultInjector::configure },
         { "entry-term-freeze", &FaultInjector::suspendEntryAtShutdown }, { "entry-hups", &FaultInjector::reloadEntry },
-        { "entry-starved", &FaultInjector::starveEntries }, { "link-slow", &FaultInjector::slowLink }, { "link-narrow", &FaultInjector::narrowLink }, { "link-one-way", &FaultInjector::loseWayUp } } };
+        { "entry-starved", &FaultInjector::starveEntries }, { "link-slow", &FaultInjector::slowLink }, { "link-narrow", &FaultInjector::narrowLink }, { "link-one-way", &FaultInjector::loseWayUp }, { "evacuate", &FaultInjector::evacuateZone } } };
     static constexpr std::array<NamedFault, 12> agentFaults { { { "agent-kill", &FaultInjector::killAgent }, { "agent-freeze", &FaultInjector::suspendAgent }, { "agent-term", &FaultInjector::shutDownAgent },
         { "target-silence", &FaultInjector::silenceTarget }, { "target", &FaultInjector::injectTargetFault }, { "target-restart", &FaultInjector::restartTarget }, { "link-cut", &FaultInjector::cutLink },
         { "agent-term-kill", &FaultInjector::killAgentAtShutdown }, { "agent-hups", &FaultInjector::reloadAgent },
@@ -90,6 +90,13 @@
     std::this_thread::sleep_for(milliseconds(between(minMs, maxMs)));
 }
 
+void FaultInjector::evacuateZone()
+{
+    system_.evacuate(SoakSystem::secondZone);
+    pause(100, 2500);
+    system_.withdrawEvacuation(SoakSystem::secondZone);
+}
+
 void FaultInjector::killEntry()
 {
     auto victim = entry();
--- a/Soak/FaultInjector.h
+++ b/Soak/FaultInjector.h
@@ -59,6 +59,7 @@
     void reloadEntry();
     void starveEntries();
     void injectStoreFault();
+    void evacuateZone();
     void configure() { system_.configureAnew(); }
 
     void killAgent() { killAgent(agent()); }
--- a/Soak/RunsProgramTest.cpp
+++ b/Soak/RunsProgramTest.cpp
@@ -197,4 +197,32 @@
     CHECK(Contract::call(system.entryMetricsAddress(0), "GET", "/metrics").body_.find("lagoonpick_configuration_version 7") != std::string::npos);
 }
 
+// Guards against: an operator's key had no effect on the running programs, or its removal none.
+TEST_CASE("No job runs in an evacuated zone, and each zone serves again once its evacuation is withdrawn", "[RunsProgram]")
+{
+    SoakSystem system({ 1, 2 });
+    REQUIRE(system.waitUntilReady(timeoutSeconds));
+    auto settle = [] { std::this_thread::sleep_for(milliseconds(500)); };
+    auto isOpen = [&](std::size_t agent) {
+        return Contract::call(system.agentMetricsAddress(agent), "GET", "/metrics").body_.find("\nlagoonpick_zone_open 1\n") != std::string::npos;
+    };
+    system.evacuate(SoakSystem::secondZone);
+    settle();
+    CHECK(isOpen(0));
+    CHECK_FALSE(isOpen(1));
+    for (int job = 0; job < 5; ++job)
+        CHECK(submit(system, fmt::format("00000000000000b{}", job), jobBody(20, 2)).member("state") == "done");
+    CHECK(readFile(system.logFolder() + "/agent-1.log").value_or("").find("run_started") == std::string::npos);
+    system.evacuate(SoakSystem::firstZone);
+    settle();
+    CHECK(submit(system, "00000000000000b5", jobBody(20)).status_ == 503);
+    CHECK(Contract::call(system.entryMetricsAddress(0), "GET", "/state").body_.find(R"("zones":["zone-a","zone-b"])") != std::string::npos);
+    system.withdrawEvacuation(SoakSystem::firstZone);
+    system.withdrawEvacuation(SoakSystem::secondZone);
+    settle();
+    CHECK(isOpen(0));
+    CHECK(isOpen(1));
+    CHECK(submit(system, "00000000000000b6", jobBody(20)).member("state") == "done");
+}
+
 } // namespace Lagoonpick::Soak
--- a/Soak/SoakSystem.cpp
+++ b/Soak/SoakSystem.cpp
@@ -80,6 +80,16 @@
     Contract::call(storeAddress_, "POST", "/standin/put?key=op%2Fconfig", fmt::format(configuration, version));
 }
 
+void SoakSystem::evacuate(const std::string& zone) const
+{
+    Contract::call(storeAddress_, "POST", "/standin/put?key=op%2Fevacuate%2F" + zone, "");
+}
+
+void SoakSystem::withdrawEvacuation(const std::string& zone) const
+{
+    Contract::call(storeAddress_, "POST", "/standin/remove?key=op%2Fevacuate%2F" + zone, "");
+}
+
 bool SoakSystem::waitUntilReady(int seconds) const
 {
     for (const auto& entry : entries_) {
@@ -111,9 +121,9 @@
 void SoakSystem::startAgent(std::size_t i)
 {
     Agent& agent = agents_[i];
-    auto text = fmt::format("[agent]\nname = {}\nmax_entries = {}\navailability_zone = zone-a\ncontrol_address = {}\nmetrics_address = {}\n"
+    auto text = fmt::format("[agent]\nname = {}\nmax_entries = {}\navailability_zone = {}\ncontrol_address = {}\nmetrics_address = {}\n"
                             "entry_link_address = 127.0.0.1:1\nseeds = -\n[target]\naddress = {}\n[store]\naddress = {}\n",
-        agent.name_, maxEntries_, agent.controlAddress_, agent.metricsAddress_, agent.relayAddress_, storeRelayAddress_);
+        agent.name_, maxEntries_, i % 2 ? secondZone : firstZone, agent.controlAddress_, agent.metricsAddress_, agent.relayAddress_, storeRelayAddress_);
     auto file = folder_.write(fmt::format("agent-{}.ini", i), text);
     agent.log_.path_ = fmt::format("{}/agent-{}.log", folder_.path(), i);
     markIncarnationStart(agent.log_);
--- a/Soak/SoakSystem.h
+++ b/Soak/SoakSystem.h
@@ -23,6 +23,10 @@
 /// processes, each its own.
 class SoakSystem {
 public:
+    /// The availability zones of the agents, by turns.
+    static constexpr auto firstZone = "zone-a";
+    static constexpr auto secondZone = "zone-b";
+
     explicit SoakSystem(SoakSize size);
 
     const std::string& frontAddress(std::size_t entry) const { return entries_[entry].frontAddress_; }
@@ -47,6 +51,10 @@
     /// Writes a new version, from any thread.
     void configureAnew() { configure(++configurationVersion_); }
 
+    /// Evacuates an availability zone as operators do, or withdraws the evacuation. From any thread.
+    void evacuate(const std::string& zone) const;
+    void withdrawEvacuation(const std::string& zone) const;
+
     /// Sends a signal to the process of an entry or an agent. A process that ends stays down until it is started again.
     void signalEntry(std::size_t entry, int number) const { entries_[entry].process_->sendSignal(number); }
     void signalAgent(std::size_t agent, int number) const { agents_[agent].process_->sendSignal(number); }
