--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -47,6 +47,7 @@
         beginTarget(now);
         break;
     case TargetState::Change::Updated:
+        recordCold(now);
         break;
     }
     if (target_.heartbeat().isDraining_ && !wasDraining)
@@ -61,6 +62,15 @@
     markReportsDue();
 }
 
+void RunAgentCore::recordCold(Time now)
+{
+    const TargetHeartbeat& heartbeat = target_.heartbeat();
+    if (!cold_.record(heartbeat.coldLeft_, heartbeat.capacity_, now))
+        return;
+    ++counters_.coldStarts_;
+    log(LogLine("target_cold").text("target", heartbeat.incarnation_.id_).milliseconds("cold_left_ms", heartbeat.coldLeft_).number("milli_cores", capacity(now).milliCores_).number("capacity", heartbeat.capacity_.milliCores_));
+}
+
 bool RunAgentCore::isOpen() const
 {
     return target_.acceptsRuns() && hasLeaseAnswer_ && !isLeaseLost_ && !isShuttingDown_ && orphans_.empty() && isZoneOpen();
@@ -69,7 +79,7 @@
 RunAgentCore::RunId RunAgentCore::findNextToStart(Time now) const
 {
     const Wire::Resources used = runs_.used();
-    const Wire::Resources& capacity = target_.heartbeat().capacity_;
+    const Wire::Resources capacity = this->capacity(now);
     RunId best = 0;
     const Run* bestRun = nullptr;
     for (const auto& [id, run] : runs_.rows()) {
@@ -246,10 +256,13 @@
     Run& run = *runs_.find(id);
     Duration took = run.startSentAt_ == Time() || end == RunEnd::NotStarted ? Duration() : now - run.startSentAt_;
     Wire::RunEnded ended { .run_ = run.run_, .end_ = end, .reason_ = end == RunEnd::NotStarted ? reason : NotStartedReason::None, .durationMicroseconds_ = static_cast<std::uint64_t>(took.count()) };
+    // The times of a cold target say nothing about the warm one.
+    bool isComparable = !cold_.isCold(now) && cold_.isComparable(run.startSentAt_, now);
     switch (end) {
     case RunEnd::Done:
         ++counters_.done_;
-        monitor_.recordDone(took, run.work_, now);
+        monitor_.recordDone(isComparable ? took : Duration(), run.work_, now);
+        cold_.recordDone(took, run.work_, run.need_, now);
         break;
     case RunEnd::Failed:
         ++counters_.failed_;
@@ -257,7 +270,8 @@
         break;
     case RunEnd::Stopped:
         ++counters_.stopped_;
-        monitor_.recordRunTime(run.progress_.total().value_or(Duration()), run.work_, now);
+        if (isComparable)
+            monitor_.recordRunTime(run.progress_.total().value_or(Duration()), run.work_, now);
         break;
     case RunEnd::Lost:
         ++counters_.lost_;
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -3,6 +3,7 @@
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
 #include "Lagoonpick/Run/AddressTable.h"
+#include "Lagoonpick/Run/ColdStart.h"
 #include "Lagoonpick/Run/ConfigurationFetch.h"
 #include "Lagoonpick/Run/EntrySelection.h"
 #include "Lagoonpick/Run/EntrySession.h"
@@ -41,6 +42,8 @@
     std::uint64_t startsWithoutRoom_ { 0 };
     std::uint64_t startsUnanswered_ { 0 };
     std::uint64_t leaseAnswersMissed_ { 0 };
+    /// How often the target was found to be cold.
+    std::uint64_t coldStarts_ { 0 };
 };
 
 /// The state machine of an agent that runs tasks under leases. Decides which of the requested runs begin on the target and
@@ -91,6 +94,7 @@
     /// the link carries no run.
     std::set<std::string> selectEntries(std::set<std::string> listed, Time now);
     std::uint64_t configurationVersion() const { return configuration_.version_; }
+    bool isTargetCold(Time now) const { return cold_.isCold(now); }
     const EvacuationState& evacuation() const { return evacuation_; }
     /// True if it is known that the agent's availability zone is not evacuated. Otherwise nothing is started.
     bool isZoneOpen() const { return evacuation_.permitsStarts(settings_.availabilityZone_); }
@@ -120,6 +124,9 @@
     void handle(LinkId link, const auto&, Time) { abort(link); }
 
     bool isOpen() const;
+    void recordCold(Time now);
+    /// The part of the target's capacity that may be used.
+    Wire::Resources capacity(Time now) const { return cold_.reduce(target_.heartbeat().capacity_, now); }
     void startFittingRuns(Time now);
     RunId findNextToStart(Time now) const;
     void start(RunId id, Run& run, Time now);
@@ -191,6 +198,7 @@
     RunTable runs_;
     TargetState target_;
     TargetMonitor monitor_;
+    ColdStart cold_;
     std::map<Incarnation, EntrySession> sessions_;
     /// All open links, including those without an `EntryHello` so far.
     std::set<LinkId> openLinks_;
--- a/Lagoonpick/Run/RunAgentCoreEntries.cpp
+++ b/Lagoonpick/Run/RunAgentCoreEntries.cpp
@@ -242,13 +242,13 @@
         reason = NotStartedReason::ZoneEvacuated;
     else if (!isOpen() || !hasContact(session, now) || !servesTask(target_.heartbeat(), message))
         reason = NotStartedReason::TargetUnavailable;
-    else if (!hasRoom(target_.heartbeat().capacity_, {}, message.need_) || runs_.queuedCount() >= settings_.maxQueued_)
+    else if (!hasRoom(capacity(now), {}, message.need_) || runs_.queuedCount() >= settings_.maxQueued_)
         reason = NotStartedReason::NoRoom;
     else if (runs_.findOnTarget(run.name_))
         reason = NotStartedReason::StaleStartNumber;
-    else if (!message.waitMicroseconds_ && !hasRoom(target_.heartbeat().capacity_, runs_.used() + runs_.queued(), message.need_)) {
+    else if (!message.waitMicroseconds_ && !hasRoom(capacity(now), runs_.used() + runs_.queued(), message.need_)) {
         Duration tolerable = std::max<Duration>(minTolerableWait, run.work_ / tolerableWaitDivisor);
-        if (Backlog(runs_, target_.heartbeat().capacity_, slowdown(now), now).waitOf(orderAt(run, now)) > tolerable)
+        if (Backlog(runs_, capacity(now), slowdown(now), now).waitOf(orderAt(run, now)) > tolerable)
             reason = NotStartedReason::NoRoom;
         run.waitUntil_ = now + tolerable * 2;
     }
@@ -369,8 +369,8 @@
     double slowdown = this->slowdown(now);
     constexpr double permille = 1000;
     const TargetHeartbeat& heartbeat = target_.heartbeat();
-    Backlog backlog(runs_, heartbeat.capacity_, slowdown, now);
-    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = heartbeat.capacity_, .used_ = runs_.used(), .queued_ = runs_.queued(), .slowdownPermille_ = static_cast<std::uint64_t>(slowdown * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(backlog.firstWait().count()), .queuedBacklogs_ = backlog.report(now), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .agentTime_ = toAgentTime(now) };
+    Backlog backlog(runs_, capacity(now), slowdown, now);
+    return { .isOpen_ = isOpen(), .isSuspect_ = monitor_.isSuspect(), .service_ = heartbeat.service_, .labels_ = heartbeat.labels_, .capacity_ = capacity(now), .used_ = runs_.used(), .queued_ = runs_.queued(), .slowdownPermille_ = static_cast<std::uint64_t>(slowdown * permille), .backlogMicroseconds_ = static_cast<std::uint64_t>(backlog.firstWait().count()), .queuedBacklogs_ = backlog.report(now), .typicalMicroseconds_ = static_cast<std::uint64_t>(monitor_.typicalTime().count()), .agentTime_ = toAgentTime(now) };
 }
 
 void RunAgentCore::send(LinkId link, Wire::RunMessage message)
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -184,6 +184,7 @@
 {
     const TargetHeartbeat& heartbeat = target_.heartbeat();
     log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.startedAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
+    recordCold(now);
     handleRestart(now);
     isLeaseLost_ = false;
     leaseAnsweredAt_ = now;
--- a/Lagoonpick/Run/RunAgentCoreStalls.cpp
+++ b/Lagoonpick/Run/RunAgentCoreStalls.cpp
@@ -25,11 +25,12 @@
 
 double RunAgentCore::slowdown(Time now) const
 {
-    double logSum = endedRunsWeight * std::log(monitor_.slowdown(now));
+    // What was measured while the target was warm does not apply to a cold one.
+    double logSum = cold_.isCold(now) ? 0 : endedRunsWeight * std::log(monitor_.slowdown(now));
     double weight = endedRunsWeight;
     for (const auto& [id, run] : runs_.rows()) {
         auto total = run.phase_ == RunPhase::Running ? run.progress_.total() : std::nullopt;
-        if (!total || run.work_.count() <= 0)
+        if (!total || run.work_.count() <= 0 || !cold_.isComparable(run.startSentAt_, now))
             continue;
         logSum += std::log(static_cast<double>(total->count()) / static_cast<double>(run.work_.count()));
         weight += 1;
--- a/Lagoonpick/Run/TargetCalls.h
+++ b/Lagoonpick/Run/TargetCalls.h
@@ -40,6 +40,8 @@
     std::vector<std::string> labels_;
     Wire::Resources capacity_;
     bool isDraining_ { false };
+    /// How much longer the target is slow because it has begun only recently; zero if it is not.
+    Duration coldLeft_ {};
 };
 
 /// A start to be sent to the target. The reply repeats `call_`.
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -267,7 +267,7 @@
     std::string entries;
     for (const auto& [incarnation, session] : core_.sessions())
         entries += fmt::format("{}{{\"entry\":\"{}\",\"address\":\"{}\",\"linked\":{},\"leaving\":{}}}", entries.empty() ? "" : ",", session.name_, session.address_, session.link_.has_value(), session.leavingSince_.has_value());
-    return fmt::format("{{\"agent\":\"{}\",\"target\":\"{}\",\"born_ms\":{},\"draining\":{},\"runs\":{},\"configuration\":{},\"evacuation\":{},\"zone_open\":{},\"entries\":[{}]}}", settings_.run_.name_, heartbeat.incarnation_.id_, heartbeat.incarnation_.startedAt_, heartbeat.isDraining_, core_.runCount(), core_.configurationVersion(), dumpZones(core_.evacuation(), clock_.now()), core_.isZoneOpen(), entries);
+    return fmt::format("{{\"agent\":\"{}\",\"target\":\"{}\",\"born_ms\":{},\"draining\":{},\"cold\":{},\"runs\":{},\"configuration\":{},\"evacuation\":{},\"zone_open\":{},\"entries\":[{}]}}", settings_.run_.name_, heartbeat.incarnation_.id_, heartbeat.incarnation_.startedAt_, heartbeat.isDraining_, core_.isTargetCold(clock_.now()), core_.runCount(), core_.configurationVersion(), dumpZones(core_.evacuation(), clock_.now()), core_.isZoneOpen(), entries);
 }
 
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -22,6 +22,8 @@
     writeMetric(text, "lagoonpick_starts_unanswered_total", "", static_cast<double>(counters.startsUnanswered_));
     writeMetricHeader(text, "lagoonpick_lease_answers_missed_total", "counter", "Lease renewals without an answer.");
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
+    writeMetricHeader(text, "lagoonpick_cold_starts_total", "counter", "How often the target was found to be cold.");
+    writeMetric(text, "lagoonpick_cold_starts_total", "", static_cast<double>(counters.coldStarts_));
     writeMetricHeader(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
--- a/UnitTests/UsersPlatform/TargetCodecTest.cpp
+++ b/UnitTests/UsersPlatform/TargetCodecTest.cpp
@@ -53,6 +53,23 @@
     CHECK_FALSE(decodeHeartbeat("i", text).has_value());
 }
 
+// Guards against: a target that was cold got as many tasks as a warm one.
+TEST_CASE("A heartbeat says how much longer its target is cold")
+{
+    auto [field, coldLeft] = GENERATE(table<std::string, Duration>({
+        { R"("cold_left_ms":0,)", Duration() },
+        { R"("cold_left_ms":1500,)", std::chrono::milliseconds(1500) },
+        { R"("cold_left_ms":-5,)", Duration() },
+        { "", Duration() },
+    }));
+    const std::string former = R"("cold_left_ms":0,)";
+    std::string text = validHeartbeat;
+    text.replace(text.find(former), former.size(), field);
+    auto heartbeat = decodeHeartbeat("i", text);
+    REQUIRE(heartbeat.has_value());
+    CHECK(heartbeat.value().coldLeft_ == coldLeft);
+}
+
 // Guards against: a heartbeat that lacked five fields named a target, whose real runs then counted as lost (review, case 1).
 TEST_CASE("A heartbeat with several fields missing names no target, and the error names the first of them")
 {
