--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -22,13 +22,15 @@
     writeMetric(text, "lagoonpick_starts_unanswered_total", "", static_cast<double>(counters.startsUnanswered_));
     writeMetricHeader(text, "lagoonpick_lease_answers_missed_total", "counter", "Lease renewals without an answer.");
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
+    writeMetricHeader(text, "lagoonpick_cold_starts_total", "counter", "How often the target was found to be cold.");
+    writeMetric(text, "lagoonpick_cold_starts_total", "", static_cast<double>(counters.coldStarts_));
     writeMetricHeader(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones", "gauge", "Evacuated availability zones that the process knows.");
     writeMetric(text, "lagoonpick_evacuated_zones", "", static_cast<double>(core.evacuation().set().names_.size()));
     writeMetricHeader(text, "lagoonpick_evacuated_zones_revision", "gauge", "The store's revision of that set; 0 if no set is known.");
     writeMetric(text, "lagoonpick_evacuated_zones_revision", "", static_cast<double>(core.evacuation().revision()));
-    writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "1 if tasks may start in the agent's availability zone, else 0.");
+    writeMetricHeader(text, "lagoonpick_zone_open", "gauge", "Whether tasks may start in the availability zone of the agent: 1 or 0.");
     writeMetric(text, "lagoonpick_zone_open", "", core.isZoneOpen() ? 1 : 0);
     writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
     writeMetric(text, "lagoonpick_entries", "", static_cast<double>(core.linkedEntryCount()));
