--- a/ContractTests/Support/Process.cpp
+++ b/ContractTests/Support/Process.cpp
@@ -62,17 +62,34 @@
     return nanoseconds / nanosecondsPerSecond;
 }
 
-std::uint64_t Process::residentKilobytes() const
+std::uint64_t Process::statusKilobytes(std::string_view name) const
 {
     std::ifstream file("/proc/" + std::to_string(id_) + "/status");
     for (std::string word; file >> word;) {
         std::uint64_t kilobytes = 0;
-        if (word == "VmRSS:" && file >> kilobytes)
+        if (word == name && file >> kilobytes)
             return kilobytes;
     }
     return 0;
 }
 
+std::uint64_t Process::residentKilobytes() const
+{
+    return statusKilobytes("VmRSS:");
+}
+
+std::uint64_t Process::peakResidentKilobytes() const
+{
+    return statusKilobytes("VmHWM:");
+}
+
+std::size_t Process::openDescriptors() const
+{
+    std::error_code error;
+    std::filesystem::directory_iterator entries("/proc/" + std::to_string(id_) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 void Process::limitDescriptors(std::uint64_t count) const
 {
     const rlimit limit { count, count };
--- a/ContractTests/Support/Process.h
+++ b/ContractTests/Support/Process.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -25,6 +26,12 @@
     /// Resident memory, in kilobytes; 0 if it can't be read.
     std::uint64_t residentKilobytes() const;
 
+    /// Largest resident memory so far, in kilobytes; 0 if it can't be read, for example because the process has ended.
+    std::uint64_t peakResidentKilobytes() const;
+
+    /// Number of open descriptors; 0 if it can't be read.
+    std::size_t openDescriptors() const;
+
     /// Limits how many descriptors the process may have open.
     void limitDescriptors(std::uint64_t count) const;
 
@@ -36,6 +43,8 @@
     int waitForExit(int seconds);
 
 private:
+    std::uint64_t statusKilobytes(std::string_view name) const;
+
     pid_t id_ { -1 };
 };
 
