HTTP server and client: one reader that holds the header and the body only, within limits

Cause: the parser needs a whole chunk line and all trailers in its buffer, and that buffer had no limit; only announced bodies were counted. MessageReader drops chunk sizes, extensions and trailers as they arrive, bounds them by the header's limit, and refuses what can be read in two ways. The server counts all that its connections hold: header, body, bytes behind a request, responses. When the total runs short, the connection that has held most for longest (bytes times time) while it waited for its peer is closed; a request that is being handled never is. The client bounds responses in the same way, interim ones and all together included.

--- a/Lagoonpick/Transport/HttpClient.cpp
+++ b/Lagoonpick/Transport/HttpClient.cpp
@@ -1,9 +1,11 @@
 #include "Lagoonpick/Transport/HttpClient.h"
 
+#include <array>
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 
 namespace Lagoonpick {
 
@@ -18,6 +20,9 @@
 
 constexpr std::size_t maxIdleConnections = 64;
 constexpr int httpVersion = 11;
+constexpr std::size_t pieceBytes = 8192;
+/// How many bodies of the largest size are held at a time if no other limit is given.
+constexpr std::uint64_t maxResponsesHeld = 4;
 
 http::request<http::string_body> toMessage(OutgoingRequest request, const std::string& host)
 {
@@ -36,11 +41,22 @@
 } // namespace
 
 struct HttpClient::Connection {
-    explicit Connection(asio::io_context& context)
+    Connection(asio::io_context& context, std::shared_ptr<std::uint64_t> totalHeldBytes)
         : stream_(context)
+        , totalHeldBytes_(std::move(totalHeldBytes))
     {
     }
 
+    ~Connection() { hold(0); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    void hold(std::uint64_t bytes)
+    {
+        *totalHeldBytes_ += bytes - heldBytes_;
+        heldBytes_ = bytes;
+    }
+
     /// True if the server has neither closed the connection nor sent unrequested data.
     bool isReusable()
     {
@@ -52,15 +68,19 @@
     }
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    std::shared_ptr<std::uint64_t> totalHeldBytes_;
+    std::uint64_t heldBytes_ { 0 };
+    /// The server sent more than its response.
+    bool hasSurplus_ { false };
     std::chrono::steady_clock::time_point idleSince_;
 };
 
-HttpClient::HttpClient(asio::io_context& context, std::string address, std::uint64_t maxBodyBytes, Duration maxIdle)
+HttpClient::HttpClient(asio::io_context& context, std::string address, std::uint64_t maxBodyBytes, Duration maxIdle, std::uint64_t maxHeldBytes)
     : context_(context)
     , address_(std::move(address))
     , maxBodyBytes_(maxBodyBytes)
     , maxIdle_(maxIdle)
+    , maxHeldBytes_(maxHeldBytes ? maxHeldBytes : maxResponsesHeld * maxBodyBytes)
 {
 }
 
@@ -89,7 +109,7 @@
     auto deadline = std::chrono::steady_clock::now() + timeout;
     auto connection = takeIdle();
     if (!connection) {
-        connection = std::make_shared<Connection>(context_);
+        connection = std::make_shared<Connection>(context_, heldBytes_);
         connection->stream_.expires_at(deadline);
         auto [error] = co_await connection->stream_.async_connect(toEndpoint(address_), useTuple);
         if (error)
@@ -102,22 +122,48 @@
     auto [writeError, written] = co_await http::async_write(connection->stream_, message, useTuple);
     if (writeError)
         co_return Exchange { .stage_ = written ? ExchangeStage::Written : ExchangeStage::NotWritten };
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxBodyBytes_);
-    auto [readError, size] = co_await http::async_read(connection->stream_, connection->buffer_, parser, useTuple);
-    if (readError)
+    ResponseReader reader({ .maxBodyBytes_ = maxBodyBytes_ });
+    bool isComplete = co_await read(*connection, reader);
+    connection->hold(0);
+    if (!isComplete)
         co_return Exchange { .stage_ = ExchangeStage::Written };
-    auto response = parser.release();
     connection->stream_.expires_never();
-    if (response.keep_alive())
+    if (reader.isConnectionKept() && !connection->hasSurplus_)
         keepIdle(std::move(connection));
-    co_return Exchange { .stage_ = ExchangeStage::Answered, .status_ = response.result_int(), .body_ = std::move(response.body()) };
+    co_return Exchange { .stage_ = ExchangeStage::Answered, .status_ = reader.message().result_int(), .body_ = reader.takeBody() };
+}
+
+asio::awaitable<bool> HttpClient::read(Connection& connection, ResponseReader& reader)
+{
+    while (!reader.isComplete()) {
+        if (!co_await readPiece(connection, reader))
+            co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> HttpClient::readPiece(Connection& connection, ResponseReader& reader)
+{
+    std::array<char, pieceBytes> piece {};
+    auto [error, size] = co_await connection.stream_.async_read_some(asio::buffer(piece), useTuple);
+    if (error == asio::error::eof)
+        reader.putEnd();
+    if (error)
+        co_return reader.isComplete();
+    connection.hasSurplus_ = reader.put({ piece.data(), size }) < size;
+    auto fault = reader.fault();
+    connection.hold(reader.heldBytes());
+    if (fault == PeerFault::None && *heldBytes_ > maxHeldBytes_ && !reader.isComplete())
+        fault = PeerFault::MemoryLimit;
+    if (fault != PeerFault::None)
+        faults_.add(fault, address_);
+    co_return fault == PeerFault::None;
 }
 
 asio::awaitable<void> HttpClient::stream(
     OutgoingRequest request, Duration idleTimeout, std::function<bool(std::string)> onLine)
 {
-    Connection connection(context_);
+    Connection connection(context_, heldBytes_);
     connection.stream_.expires_after(idleTimeout);
     auto [connectError] = co_await connection.stream_.async_connect(toEndpoint(address_), useTuple);
     if (connectError)
@@ -126,22 +172,18 @@
     auto [writeError, written] = co_await http::async_write(connection.stream_, message, useTuple);
     if (writeError)
         co_return;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
+    ResponseReader reader({ .maxBodyBytes_ = std::numeric_limits<std::int64_t>::max() });
     std::string pending;
-    auto [headError, headSize] = co_await http::async_read_header(connection.stream_, connection.buffer_, parser, useTuple);
-    bool isActive = !headError;
-    while (isActive) {
-        pending += std::exchange(parser.get().body(), {});
+    bool isActive = true;
+    while (isActive && !reader.isComplete()) {
+        connection.stream_.expires_after(idleTimeout);
+        isActive = co_await readPiece(connection, reader);
+        pending += reader.takeBody();
         for (auto end = pending.find('\n'); isActive && end != std::string::npos; end = pending.find('\n')) {
             isActive = pending.size() <= maxBodyBytes_ && onLine(pending.substr(0, end));
             pending.erase(0, end + 1);
         }
-        if (!isActive || parser.is_done())
-            break;
-        connection.stream_.expires_after(idleTimeout);
-        auto [error, size] = co_await http::async_read_some(connection.stream_, connection.buffer_, parser, useTuple);
-        isActive = !error && pending.size() <= maxBodyBytes_;
+        isActive = isActive && pending.size() <= maxBodyBytes_;
     }
 }
 
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonpick/Transport/HttpServer.h"
 
+#include "Lagoonpick/Transport/MessageReader.h"
 #include "Lagoonpick/Transport/Spawn.h"
 
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -8,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <fmt/format.h>
 #include <list>
 #include <optional>
 
@@ -22,11 +25,21 @@
 
 constexpr auto useTuple = asio::experimental::as_tuple(asio::use_awaitable);
 
-HttpRequest toRequest(http::request<http::string_body>&& message)
+/// What a connection that holds nothing counts for when one has to be closed: its session, coroutine and socket.
+constexpr double idleConnectionBytes = 16'384;
+/// Size of the buffer that all connections of a server share for the further pieces of requests.
+constexpr std::size_t sharedBufferBytes = 16'384;
+/// Pieces that are read from one connection before others have their turn.
+constexpr int maxPiecesAtOnce = 8;
+/// Pieces of a refused request that are read and dropped, so that the peer receives the refusal rather than a reset.
+constexpr int maxDroppedPieces = 64;
+
+HttpRequest toRequest(RequestReader& reader)
 {
+    const auto& message = reader.message();
     std::string target(message.target());
     auto question = target.find('?');
-    HttpRequest request { .method_ = std::string(message.method_string()), .path_ = target.substr(0, question), .query_ = {}, .idempotencyKey_ = std::string(message["Idempotency-Key"]), .body_ = std::move(message.body()), .headers_ = {}, .callerConnection_ = std::make_shared<CallerConnection>() };
+    HttpRequest request { .method_ = std::string(message.method_string()), .path_ = target.substr(0, question), .query_ = {}, .idempotencyKey_ = std::string(message["Idempotency-Key"]), .body_ = reader.takeBody(), .headers_ = {}, .callerConnection_ = std::make_shared<CallerConnection>() };
     if (question != std::string::npos)
         request.query_ = target.substr(question + 1);
     for (const auto& field : message)
@@ -44,22 +57,37 @@
     message.keep_alive(keepAlive);
 }
 
-HttpResponse problemForReadError(const beast::error_code& error)
+HttpResponse makeProblem(std::uint32_t status, std::string_view title)
 {
-    bool isTooLarge = error == http::error::body_limit || error == http::error::header_limit;
-    HttpResponse response { .status_ = isTooLarge ? 413U : 400U, .contentType_ = "application/problem+json", .body_ = {}, .stream_ = {} };
-    response.body_ = isTooLarge
-        ? R"({"type":"urn:lagoonpick:problem:request-too-large","title":"request-too-large","status":413,"run":"no","submission_run":"unknown"})"
-        : R"({"type":"urn:lagoonpick:problem:malformed-request","title":"malformed-request","status":400,"run":"no","submission_run":"unknown"})";
+    HttpResponse response { .status_ = status, .contentType_ = "application/problem+json", .body_ = {}, .stream_ = {} };
+    response.body_ = fmt::format(R"({{"type":"urn:lagoonpick:problem:{0}","title":"{0}","status":{1},"run":"no","submission_run":"unknown"}})", title, status);
     return response;
 }
 
-HttpResponse problemForFullServer()
+/// The refusal of a request that was not read completely, so that nothing of it has begun.
+HttpResponse makeRefusal(PeerFault fault)
 {
+    constexpr std::uint32_t statusBadRequest = 400;
+    constexpr std::uint32_t statusRequestTimeout = 408;
+    constexpr std::uint32_t statusContentTooLarge = 413;
+    constexpr std::uint32_t statusHeaderTooLarge = 431;
     constexpr std::uint32_t statusUnavailable = 503;
-    HttpResponse response { .status_ = statusUnavailable, .contentType_ = "application/problem+json", .body_ = R"({"type":"urn:lagoonpick:problem:overloaded","title":"overloaded","status":503,"run":"no","submission_run":"unknown"})", .stream_ = {} };
-    response.retryAfterSeconds_ = 1;
-    return response;
+    switch (fault) {
+    case PeerFault::HeaderTooLarge:
+    case PeerFault::TrailerTooLarge:
+        return makeProblem(statusHeaderTooLarge, "header-too-large");
+    case PeerFault::BodyTooLarge:
+        return makeProblem(statusContentTooLarge, "request-too-large");
+    case PeerFault::TooSlow:
+        return makeProblem(statusRequestTimeout, "request-too-slow");
+    case PeerFault::MemoryLimit: {
+        auto response = makeProblem(statusUnavailable, "overloaded");
+        response.retryAfterSeconds_ = 1;
+        return response;
+    }
+    default:
+        return makeProblem(statusBadRequest, "malformed-request");
+    }
 }
 
 /// True if the peer has closed or reset the connection, as far as this end has been notified.
@@ -72,12 +100,20 @@
     return error && error != asio::error::would_block;
 }
 
-bool isProtocolError(const beast::error_code& error)
+std::string addressOf(const tcp::socket& socket)
 {
-    return error.category() == http::make_error_code(http::error::bad_method).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
+    beast::error_code error;
+    auto endpoint = socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+/// How a reading ended.
+enum class ReadEnd : std::uint8_t {
+    Complete,
+    Closed,
+    Faulty,
+};
+
 } // namespace
 
 tcp::endpoint toEndpoint(const std::string& address)
@@ -121,16 +157,25 @@
     struct Session {
         explicit Session(tcp::socket socket)
             : stream_(std::move(socket))
+            , readTimer_(stream_.get_executor())
         {
         }
         beast::tcp_stream stream_;
-        beast::flat_buffer buffer_;
+        /// Ends the reading of a request at its deadline. Not the stream's own timeout, which closes the socket, so that no refusal
+        /// could be sent.
+        asio::steady_timer readTimer_;
+        /// The first piece of a request; most requests are no longer.
+        std::array<char, 1024> input_ {};
+        /// What was received behind the last request.
+        std::string pipelined_;
         bool isBusy_ { false };
+        bool isReading_ { false };
+        bool isTooSlow_ { false };
         /// Closed to make room for other connections; its coroutine has yet to end.
         bool isEvicted_ { false };
         /// Since when the server has waited for the peer to send a request or to read a response; empty while a request is handled.
         std::optional<std::chrono::steady_clock::time_point> waitingForPeerSince_ { std::chrono::steady_clock::now() };
-        /// Bytes reserved for the body of its request.
+        /// Bytes that are held for the connection.
         std::uint64_t heldBytes_ { 0 };
     };
 
@@ -150,13 +195,15 @@
             if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
-                // Most likely out of file descriptors: wait 20 ms for some to be closed.
+                // Most likely out of file descriptors: make room, and wait 20 ms for some to be closed.
+                if (error == asio::error::no_descriptors)
+                    evict(PeerFault::ConnectionLimit);
                 asio::steady_timer pause(context_, std::chrono::milliseconds(20));
                 co_await pause.async_wait(useTuple);
                 continue;
             }
-            if (sessions_.size() - evictedCount_ >= limits_.maxConnections_ && !evictLongestWaiting(0)) {
-                ++closedAtLimit_;
+            if (sessions_.size() - evictedCount_ >= limits_.maxConnections_ && !evict(PeerFault::ConnectionLimit)) {
+                faults_.add(PeerFault::ConnectionLimit, addressOf(socket));
                 continue;
             }
             beast::error_code ignored;
@@ -181,37 +228,44 @@
         sessions_.erase(position);
     }
 
-    /// Closes the connection that has waited longest for its peer, among those that hold at least `minHeldBytes` for a body.
-    /// Returns false if there is none.
-    bool evictLongestWaiting(std::uint64_t minHeldBytes)
+    /// Closes the connection that has held most for longest while it waited for its peer; for memory, among those that hold any.
+    /// Returns false if there is none, or if it is `requester` itself, which is left open so that it can be answered.
+    bool evict(PeerFault fault, const Session* requester = nullptr)
     {
-        std::shared_ptr<Session> longestWaiting;
+        std::shared_ptr<Session> chosen;
+        double highestCost = -1;
+        auto now = std::chrono::steady_clock::now();
         for (const auto& session : sessions_) {
-            bool isCandidate = session->waitingForPeerSince_ && !session->isEvicted_ && session->heldBytes_ >= minHeldBytes;
-            if (isCandidate && (!longestWaiting || *session->waitingForPeerSince_ < *longestWaiting->waitingForPeerSince_))
-                longestWaiting = session;
+            if (!session->waitingForPeerSince_ || session->isEvicted_ || (fault == PeerFault::MemoryLimit && !session->heldBytes_))
+                continue;
+            std::chrono::duration<double> age = now - *session->waitingForPeerSince_;
+            double cost = (idleConnectionBytes + static_cast<double>(session->heldBytes_)) * age.count();
+            if (cost > highestCost) {
+                highestCost = cost;
+                chosen = session;
+            }
         }
-        if (!longestWaiting)
+        if (!chosen || chosen.get() == requester)
             return false;
-        longestWaiting->isEvicted_ = true;
+        chosen->isEvicted_ = true;
         ++evictedCount_;
-        ++closedAtLimit_;
-        release(*longestWaiting);
-        // Not `cancel`: a composed read or write that is between two of its operations would continue.
-        longestWaiting->stream_.close();
+        faults_.add(fault, addressOf(chosen->stream_.socket()));
+        release(*chosen);
+        // Not `cancel`: a composed write that is between two of its operations would continue.
+        chosen->stream_.close();
         return true;
     }
 
-    /// Reserves room for the body of a request, evicting other connections if needed. Returns false if there is not enough room,
-    /// because requests that are being handled hold the rest.
+    /// Accounts for what is held for a connection, closing others if there is not enough room. Returns false if there is none for this
+    /// connection: it is the one that would have to be closed, or requests that are being handled hold the rest.
     bool hold(Session& session, std::uint64_t bytes)
     {
-        while (heldBytes_ + bytes > limits_.maxHeldBytes_) {
-            if (!evictLongestWaiting(1))
+        heldBytes_ += bytes - session.heldBytes_;
+        session.heldBytes_ = bytes;
+        while (heldBytes_ > limits_.maxHeldBytes_) {
+            if (!evict(PeerFault::MemoryLimit, &session))
                 return false;
         }
-        session.heldBytes_ = bytes;
-        heldBytes_ += bytes;
         return true;
     }
 
@@ -223,33 +277,22 @@
     asio::awaitable<bool> serveOne(const std::shared_ptr<Session>& shared)
     {
         Session& session = *shared;
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(limits_.maxHeaderBytes_);
-        parser.body_limit(limits_.maxBodyBytes_);
-        session.stream_.expires_after(limits_.readTimeout_);
-        session.waitingForPeerSince_ = std::chrono::steady_clock::now();
-        auto [error, size] = co_await http::async_read_header(session.stream_, session.buffer_, parser, useTuple);
-        if (!error && !session.isEvicted_ && !parser.is_done()) {
-            if (!hold(session, parser.content_length().value_or(limits_.maxBodyBytes_))) {
-                co_await write(session, problemForFullServer(), false);
-                co_return false;
-            }
-            std::tie(error, size) = co_await http::async_read(session.stream_, session.buffer_, parser, useTuple);
-        }
-        if (error || session.isEvicted_) {
-            if (isProtocolError(error))
-                co_await write(session, problemForReadError(error), false);
+        RequestReader reader({ .maxHeaderBytes_ = limits_.maxHeaderBytes_, .maxHeaderFields_ = limits_.maxHeaderFields_, .maxBodyBytes_ = limits_.maxBodyBytes_ });
+        PeerFault fault = PeerFault::None;
+        session.isReading_ = true;
+        ReadEnd end = co_await read(shared, reader, fault);
+        session.isReading_ = false;
+        if (end == ReadEnd::Faulty)
+            co_await refuse(session, fault);
+        if (end != ReadEnd::Complete)
             co_return false;
-        }
         session.isBusy_ = true;
         session.waitingForPeerSince_.reset();
-        session.stream_.expires_never();
-        auto message = parser.release();
-        bool keepAlive = message.keep_alive();
+        bool keepAlive = reader.isConnectionKept();
         // After a suspension of this process, queued requests may come from callers that have disconnected since.
         if (isClosedByPeer(session.stream_.socket()))
             co_return false;
-        HttpRequest request = toRequest(std::move(message));
+        HttpRequest request = toRequest(reader);
         auto callerConnection = request.callerConnection_;
         watchCallerConnection(shared, callerConnection);
         HttpResponse response = co_await respond(std::move(request));
@@ -260,6 +303,101 @@
         co_return isWritten&& keepAlive;
     }
 
+    /// Reads a request until it is complete. The connection is closed or refused without its request having begun in all other cases.
+    asio::awaitable<ReadEnd> read(const std::shared_ptr<Session>& shared, RequestReader& reader, PeerFault& fault)
+    {
+        Session& session = *shared;
+        session.waitingForPeerSince_ = std::chrono::steady_clock::now();
+        auto deadline = *session.waitingForPeerSince_ + limits_.readTimeout_;
+        limitReading(shared, deadline);
+        std::string pipelined = std::exchange(session.pipelined_, {});
+        bool isHeld = put(session, reader, pipelined);
+        std::optional<std::chrono::steady_clock::time_point> begunAt;
+        bool isCallerTimeKnown = false;
+        while (true) {
+            if (session.isEvicted_)
+                co_return ReadEnd::Closed;
+            fault = !isHeld ? PeerFault::MemoryLimit : session.isTooSlow_ && reader.hasBegun() ? PeerFault::TooSlow
+                                                                                               : reader.fault();
+            if (fault != PeerFault::None)
+                co_return ReadEnd::Faulty;
+            if (reader.isComplete())
+                co_return ReadEnd::Complete;
+            if (session.isTooSlow_ || isStopping_)
+                co_return ReadEnd::Closed;
+            if (reader.hasBegun() && !begunAt)
+                begunAt = std::chrono::steady_clock::now();
+            if (reader.isHeadComplete() && !std::exchange(isCallerTimeKnown, true))
+                limitReading(shared, std::min(deadline, *begunAt + callerTime(reader)));
+            auto [error, size] = co_await session.stream_.async_read_some(asio::buffer(session.input_), useTuple);
+            if (session.isEvicted_ || (error && !session.isTooSlow_))
+                co_return ReadEnd::Closed;
+            isHeld = put(session, reader, { session.input_.data(), size }) && readAvailable(session, reader);
+        }
+    }
+
+    /// Ends the reading of a connection's request at `deadline`.
+    void limitReading(const std::shared_ptr<Session>& session, std::chrono::steady_clock::time_point deadline)
+    {
+        std::weak_ptr<Session> weak = session;
+        session->readTimer_.expires_at(deadline);
+        session->readTimer_.async_wait([weak](const beast::error_code& error) {
+            auto expired = weak.lock();
+            // The timer may have been set anew after this call was queued.
+            if (error || !expired || !expired->isReading_ || expired->readTimer_.expiry() > std::chrono::steady_clock::now())
+                return;
+            expired->isTooSlow_ = true;
+            expired->stream_.cancel();
+        });
+    }
+
+    /// How long a request may take to arrive from its first byte on, by what its caller says.
+    Duration callerTime(const RequestReader& reader) const
+    {
+        if (limits_.callerTimeField_.empty())
+            return limits_.readTimeout_;
+        auto text = reader.message()[limits_.callerTimeField_];
+        std::uint32_t milliseconds = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+        bool isNumber = error == std::errc() && end == text.data() + text.size();
+        return isNumber ? std::min<Duration>(std::chrono::milliseconds(milliseconds), limits_.readTimeout_) : limits_.readTimeout_;
+    }
+
+    /// Returns false if there is no room for what is held after the piece.
+    bool put(Session& session, RequestReader& reader, std::string_view piece)
+    {
+        auto used = reader.put(piece);
+        if (reader.isComplete())
+            session.pipelined_ = piece.substr(used);
+        return hold(session, reader.heldBytes() + allocatedBytes(session.pipelined_));
+    }
+
+    /// Reads what has already arrived, without waiting.
+    bool readAvailable(Session& session, RequestReader& reader)
+    {
+        beast::error_code error;
+        auto& socket = session.stream_.socket();
+        socket.non_blocking(true, error);
+        for (int i = 0; i < maxPiecesAtOnce && !error && !reader.isComplete() && reader.fault() == PeerFault::None; ++i) {
+            auto size = socket.read_some(asio::buffer(sharedBuffer_), error);
+            if (!put(session, reader, { sharedBuffer_.data(), size }))
+                return false;
+        }
+        return true;
+    }
+
+    /// Answers a request that was not read completely, before its connection is closed.
+    asio::awaitable<void> refuse(Session& session, PeerFault fault)
+    {
+        release(session);
+        faults_.add(fault, addressOf(session.stream_.socket()));
+        co_await write(session, makeRefusal(fault), false);
+        beast::error_code error;
+        session.stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+        for (int i = 0; i < maxDroppedPieces && !error; ++i)
+            session.stream_.socket().read_some(asio::buffer(sharedBuffer_), error);
+    }
+
     /// Waits for the connection to become readable while its request is handled: end of stream or an error means that the caller
     /// has disconnected.
     void watchCallerConnection(const std::shared_ptr<Session>& session, const std::weak_ptr<CallerConnection>& callerConnection)
@@ -292,13 +430,19 @@
     {
         if (response.stream_)
             co_return co_await writeStream(session, response);
-        session.waitingForPeerSince_ = std::chrono::steady_clock::now();
         http::response<http::string_body> message;
         setHead(message, response, keepAlive);
         message.body() = std::move(response.body_);
         message.prepare_payload();
+        // Makes room before the connection can be chosen itself: its request may have run.
+        session.waitingForPeerSince_.reset();
+        hold(session, allocatedBytes(message.body()) + allocatedBytes(session.pipelined_));
+        session.waitingForPeerSince_ = std::chrono::steady_clock::now();
         session.stream_.expires_after(limits_.writeTimeout_);
         auto [error, size] = co_await http::async_write(session.stream_, message, useTuple);
+        session.stream_.expires_never();
+        if (error == beast::error::timeout)
+            faults_.add(PeerFault::NotReading, {});
         co_return !error && !session.isEvicted_;
     }
 
@@ -337,7 +481,8 @@
     std::list<std::shared_ptr<Session>> sessions_;
     std::size_t evictedCount_ { 0 };
     std::uint64_t heldBytes_ { 0 };
-    std::uint64_t closedAtLimit_ { 0 };
+    std::array<char, sharedBufferBytes> sharedBuffer_ {};
+    PeerFaults faults_;
     bool isStopping_ { false };
 };
 
@@ -392,7 +537,22 @@
 
 std::uint64_t HttpServer::connectionsClosedAtLimit() const
 {
-    return state_->closedAtLimit_;
+    return state_->faults_.count(PeerFault::ConnectionLimit) + state_->faults_.count(PeerFault::MemoryLimit);
+}
+
+PeerFaults& HttpServer::faults()
+{
+    return state_->faults_;
+}
+
+const PeerFaults& HttpServer::faults() const
+{
+    return state_->faults_;
+}
+
+std::uint64_t HttpServer::heldBytes() const
+{
+    return state_->heldBytes_;
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Transport/HttpServer.h
+++ b/Lagoonpick/Transport/HttpServer.h
@@ -1,27 +1,34 @@
 #pragma once
 
 #include "Lagoonpick/Transport/Http.h"
+#include "Lagoonpick/Transport/PeerFault.h"
 
 namespace Lagoonpick {
 
 /// Limits and timeouts of an HTTP server.
 struct HttpLimits {
     std::uint32_t maxConnections_ { 4096 };
+    /// Also the limit of chunk lines between two bytes of a body, and of trailers.
     std::uint32_t maxHeaderBytes_ { 16'384 };
+    std::uint32_t maxHeaderFields_ { 100 };
     std::uint64_t maxBodyBytes_ { 8'388'608 };
-    /// Total size of the bodies of all requests that are being received or handled.
+    /// What all connections together may have the server hold: of requests that are being received or handled, of bytes that follow a
+    /// request, and of responses that are being written.
     std::uint64_t maxHeldBytes_ { 268'435'456 };
     /// Maximum time from the opening of a connection, or from the last response, until the next request has arrived completely.
     Duration readTimeout_ { std::chrono::seconds(60) };
+    /// Header field in which a caller says for how many milliseconds it waits; a request that has not arrived completely by then is
+    /// refused. Empty: there is none.
+    std::string callerTimeField_ {};
     /// Maximum time for writing a response, or a chunk of a streamed one.
     Duration writeTimeout_ { std::chrono::seconds(20) };
 };
 
 /// An HTTP/1.1 server on one address. Requests of one connection are handled one after the other.
 ///
-/// When the number of connections or the size of bodies reaches its limit, the server closes the connection that has waited
-/// longest for its peer to send a request or to read a response, to make room for the new one. A request that is being handled
-/// is never dropped.
+/// When the number of connections, of descriptors or of held bytes reaches its limit, the server makes room by closing the connection
+/// that has held most for longest (bytes times time) while it waited for its peer to send a request or to read a response. A request
+/// that is being handled is never dropped.
 ///
 /// Not thread-safe: uses one `io_context`, which a single thread runs, and is called on that thread only. Does not stream
 /// request bodies.
@@ -47,10 +54,17 @@
     /// Number of connections with a request whose response is not yet completely written.
     std::size_t busyConnections() const;
 
-    /// Number of connections closed because of the limits on connections and bodies since the start: evicted ones, and new ones
+    /// Number of connections closed because of the limits on connections and held bytes since the start: evicted ones, and new ones
     /// that were not accepted.
     std::uint64_t connectionsClosedAtLimit() const;
 
+    /// Refused requests and closed connections by kind. Its handler may be set.
+    PeerFaults& faults();
+    const PeerFaults& faults() const;
+
+    /// Bytes held at present.
+    std::uint64_t heldBytes() const;
+
 private:
     struct State;
     std::shared_ptr<State> state_;
