Links: incomplete frames, unsent bytes and unidentified connections are bounded for all links together

Cause: the WebSocket library bounds a single message (16 MB) and reads a body of up to 32 MB behind a handshake. Message types of our own count what has arrived of each message; beyond the total, the link that has held most for longest is reset. Bytes that wait to be written are bounded in total too, a handshake has no body, and of the connections that have sent no frame the oldest is closed when there are more than 512.

--- a/Lagoonpick/Transport/FrameHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -2,8 +2,10 @@
 
 #include "Lagoonpick/Core/Underlying.h"
 #include "Lagoonpick/Transport/Http.h"
+#include "Lagoonpick/Transport/LinkMemory.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <list>
 #include <map>
 #include <random>
 #include <unordered_map>
@@ -18,9 +20,22 @@
 
 namespace {
 
+/// The library's configuration with messages whose bytes are counted.
+template <typename Base>
+struct CountingConfig : Base {
+    // NOLINTBEGIN(readability-identifier-naming): the library's names
+    using type = CountingConfig;
+    using base = Base;
+    using connection_base = ConnectionBase;
+    using message_type = CountedMessage;
+    using con_msg_manager_type = CountingMessageManager;
+    using endpoint_msg_manager_type = websocketpp::message_buffer::alloc::endpoint_msg_manager<CountingMessageManager>;
+    // NOLINTEND(readability-identifier-naming)
+};
+
 /// The library's client configuration with a short connect timeout: a SYN packet to an instance that is just starting is lost,
 /// and the operating system sends the next one only after a second.
-struct ClientConfig : websocketpp::config::asio_client {
+struct ClientConfig : CountingConfig<websocketpp::config::asio_client> {
     using type = ClientConfig;
     using base = websocketpp::config::asio_client;
     struct transport_config : base::transport_config { // NOLINT(readability-identifier-naming): the library's names
@@ -30,7 +45,7 @@
     using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
 };
 
-using Server = websocketpp::server<websocketpp::config::asio>;
+using Server = websocketpp::server<CountingConfig<websocketpp::config::asio>>;
 using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
@@ -41,16 +56,11 @@
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&context);
     endpoint.set_max_message_size(limits.maxFrameBytes_);
+    // A handshake has no body; the library bounds its header by 16,000 bytes.
+    endpoint.set_max_http_body_size(0);
     auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.handshakeTimeout_).count();
     endpoint.set_open_handshake_timeout(timeout);
     endpoint.set_close_handshake_timeout(timeout);
-    endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
-        websocketpp::lib::error_code error;
-        auto connection = endpoint.get_con_from_hdl(handle, error);
-        boost::system::error_code ignored;
-        if (connection)
-            connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    });
 }
 
 } // namespace
@@ -63,6 +73,16 @@
         std::string address_;
     };
 
+    /// A connection, from its first byte to its end, with or without a link.
+    struct Tracked {
+        connection_hdl handle_;
+        bool isOutgoing_ { false };
+        std::shared_ptr<ConnectionMemory> memory_;
+        /// It has sent a frame that could be decoded.
+        bool isIdentified_ { false };
+        bool isEvicted_ { false };
+    };
+
     struct Peer {
         explicit Peer(asio::io_context& context)
             : timer_(context)
@@ -83,11 +103,39 @@
         configure(server_, context, limits);
         configure(client_, context, limits);
         server_.set_reuse_addr(true);
+        memory_->maxHeldBytes_ = limits.maxHeldBytes_;
+    }
+
+    ~State()
+    {
+        memory_->onExceeded_ = {};
     }
 
     void start()
     {
         std::weak_ptr<State> weak = shared_from_this();
+        memory_->onExceeded_ = [weak] {
+            auto self = weak.lock();
+            if (!self || std::exchange(self->isFreeing_, true))
+                return;
+            // Not at once: the library is about to append to the message.
+            asio::post(self->context_, [weak] {
+                if (auto hub = weak.lock())
+                    hub->freeMemory();
+            });
+        };
+        server_.set_tcp_post_init_handler([weak](const connection_hdl& handle) {
+            if (auto self = weak.lock())
+                self->track(self->server_, handle, false);
+        });
+        client_.set_tcp_post_init_handler([weak](const connection_hdl& handle) {
+            if (auto self = weak.lock())
+                self->track(self->client_, handle, true);
+        });
+        server_.set_fail_handler([weak](const connection_hdl& handle) {
+            if (auto self = weak.lock())
+                self->tracked_.erase(handle);
+        });
         server_.set_validate_handler([weak](const connection_hdl&) {
             auto self = weak.lock();
             return self && self->links_.size() < self->limits_.maxLinks_;
@@ -106,6 +154,70 @@
         });
     }
 
+    /// Begins to account for a connection.
+    template <typename Endpoint>
+    void track(Endpoint& endpoint, const connection_hdl& handle, bool isOutgoing)
+    {
+        websocketpp::lib::error_code error;
+        auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (!connection)
+            return;
+        boost::system::error_code ignored;
+        connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        connection->memory_->attach(memory_);
+        tracked_[handle] = { .handle_ = handle, .isOutgoing_ = isOutgoing, .memory_ = connection->memory_, .isIdentified_ = isOutgoing };
+        if (isOutgoing)
+            return;
+        unidentified_.push_back(handle);
+        limitUnidentified();
+    }
+
+    /// Closes the oldest of the connections that have sent no frame, if there are too many.
+    void limitUnidentified()
+    {
+        std::erase_if(unidentified_, [this](const connection_hdl& handle) {
+            auto found = tracked_.find(handle);
+            return found == tracked_.end() || found->second.isIdentified_ || found->second.isEvicted_;
+        });
+        while (unidentified_.size() > limits_.maxUnidentified_) {
+            evict(tracked_.at(unidentified_.front()), PeerFault::Unidentified);
+            unidentified_.pop_front();
+        }
+    }
+
+    /// Resets a connection. Its link is closed when the library learns of it.
+    void evict(Tracked& tracked, PeerFault fault)
+    {
+        tracked.isEvicted_ = true;
+        faults_.add(fault, tracked.isOutgoing_ ? remoteAddress(client_, tracked.handle_) : remoteAddress(server_, tracked.handle_));
+        if (tracked.isOutgoing_)
+            resetConnection(client_, tracked.handle_);
+        else
+            resetConnection(server_, tracked.handle_);
+    }
+
+    /// Closes the connections that have held most for longest until what the others hold is within the limit.
+    void freeMemory()
+    {
+        isFreeing_ = false;
+        auto now = std::chrono::steady_clock::now();
+        std::vector<Tracked*> holders;
+        std::uint64_t heldBytes = 0;
+        for (auto& [handle, tracked] : tracked_) {
+            if (tracked.isEvicted_ || !tracked.memory_->heldBytes())
+                continue;
+            holders.push_back(&tracked);
+            heldBytes += tracked.memory_->heldBytes();
+        }
+        std::sort(holders.begin(), holders.end(), [now](const Tracked* left, const Tracked* right) { return left->memory_->cost(now) > right->memory_->cost(now); });
+        for (auto* holder : holders) {
+            if (heldBytes <= limits_.maxHeldBytes_)
+                return;
+            heldBytes -= holder->memory_->heldBytes();
+            evict(*holder, PeerFault::MemoryLimit);
+        }
+    }
+
     void handleOpened(const connection_hdl& handle, bool isOutgoing, const std::string& address)
     {
         LinkId id { ++lastLinkId_ };
@@ -116,6 +228,7 @@
 
     void handleClosed(const connection_hdl& handle)
     {
+        tracked_.erase(handle);
         auto found = linkByHandle_.find(handle);
         if (found == linkByHandle_.end())
             return;
@@ -134,8 +247,12 @@
             return;
         bytesReceived_ += frame.size();
         LinkId id = found->second;
-        if (!events_.onReceived_(id, frame))
+        if (!events_.onReceived_(id, frame)) {
             closeLink(id, true);
+            return;
+        }
+        if (auto tracked = tracked_.find(handle); tracked != tracked_.end())
+            tracked->second.isIdentified_ = true;
     }
 
     void closeLink(LinkId id, bool notifiesHost)
@@ -209,9 +326,12 @@
             if (self)
                 self->handleConnected(handle, address);
         });
-        connection->set_fail_handler([weak, address](const connection_hdl&) {
-            if (auto self = weak.lock())
-                self->handleConnectFailure(address);
+        connection->set_fail_handler([weak, address](const connection_hdl& handle) {
+            auto self = weak.lock();
+            if (!self)
+                return;
+            self->tracked_.erase(handle);
+            self->handleConnectFailure(address);
         });
         connection->set_close_handler([weak](const connection_hdl& handle) {
             if (auto self = weak.lock())
@@ -293,14 +413,25 @@
             closeLink(id, true);
     }
 
+    template <typename Endpoint>
+    std::size_t unsentBytes(Endpoint& endpoint, const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code error;
+        auto connection = endpoint.get_con_from_hdl(handle, error);
+        return error ? 0 : connection->get_buffered_amount();
+    }
+
+    std::size_t unsentBytes(const Link& link)
+    {
+        return link.isOutgoing_ ? unsentBytes(client_, link.handle_) : unsentBytes(server_, link.handle_);
+    }
+
     template <typename Endpoint>
     bool trySend(Endpoint& endpoint, const connection_hdl& handle, const std::string& frame)
     {
         websocketpp::lib::error_code error;
         auto connection = endpoint.get_con_from_hdl(handle, error);
-        if (error || connection->get_buffered_amount() > limits_.maxBufferedBytes_)
-            return false;
-        return !connection->send(frame, websocketpp::frame::opcode::binary);
+        return !error && !connection->send(frame, websocketpp::frame::opcode::binary);
     }
 
     void send(LinkId id, const std::string& frame)
@@ -310,13 +441,47 @@
             return;
         bytesSent_ += frame.size();
         const Link& link = found->second;
-        bool isSent = link.isOutgoing_ ? trySend(client_, link.handle_, frame) : trySend(server_, link.handle_, frame);
-        if (isSent)
+        auto unsent = unsentBytes(link);
+        if (unsent > limits_.maxBufferedBytes_) {
+            closeLater(id, PeerFault::NotReading);
             return;
+        }
+        bool isSent = link.isOutgoing_ ? trySend(client_, link.handle_, frame) : trySend(server_, link.handle_, frame);
+        if (!isSent)
+            closeLater(id, PeerFault::None);
+        else if (unsent)
+            limitUnsent();
+    }
+
+    /// Closes the link with most bytes to be written, if all links together have too many.
+    void limitUnsent()
+    {
+        std::uint64_t total = 0;
+        std::uint64_t most = 0;
+        LinkId slowest {};
+        for (const auto& [id, link] : links_) {
+            std::uint64_t unsent = unsentBytes(link);
+            total += unsent;
+            if (unsent > most) {
+                most = unsent;
+                slowest = LinkId { id };
+            }
+        }
+        if (total > limits_.maxUnsentBytes_)
+            closeLater(slowest, PeerFault::NotReading);
+    }
+
+    /// Closes a link once the present event is handled.
+    void closeLater(LinkId id, PeerFault fault)
+    {
         std::weak_ptr<State> weak = shared_from_this();
-        asio::post(context_, [weak, id] {
-            if (auto self = weak.lock())
-                self->closeLink(id, true);
+        asio::post(context_, [weak, id, fault] {
+            auto self = weak.lock();
+            if (!self || !self->links_.contains(toUnderlying(id)))
+                return;
+            if (fault != PeerFault::None)
+                self->faults_.add(fault, self->peerAddress(id));
+            self->closeLink(id, true);
         });
     }
 
@@ -349,6 +514,12 @@
     std::unordered_map<std::uint64_t, Link> links_;
     std::map<connection_hdl, LinkId, std::owner_less<connection_hdl>> linkByHandle_;
     std::map<std::string, Peer> peers_;
+    std::shared_ptr<HubMemory> memory_ { std::make_shared<HubMemory>() };
+    std::map<connection_hdl, Tracked, std::owner_less<connection_hdl>> tracked_;
+    /// Accepted connections that have sent no frame, and others that were among them, in the order of their arrival.
+    std::list<connection_hdl> unidentified_;
+    bool isFreeing_ { false };
+    PeerFaults faults_;
 };
 
 FrameHub::FrameHub(asio::io_context& context, LinkLimits limits, FrameEvents events, std::uint64_t seed)
@@ -411,6 +582,16 @@
     return state_->bytesReceived_;
 }
 
+PeerFaults& FrameHub::faults()
+{
+    return state_->faults_;
+}
+
+const PeerFaults& FrameHub::faults() const
+{
+    return state_->faults_;
+}
+
 void FrameHub::closeAll()
 {
     stopAccepting();
--- a/Lagoonpick/Transport/FrameHub.h
+++ b/Lagoonpick/Transport/FrameHub.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonpick/Core/LinkId.h"
 #include "Lagoonpick/Core/Time.h"
+#include "Lagoonpick/Transport/PeerFault.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -23,6 +24,13 @@
     Duration maxReconnectDelay_ { std::chrono::seconds(2) };
     /// No connection is accepted while there are this many links. Outgoing connections count but are not limited.
     std::uint32_t maxLinks_ { 16'384 };
+    /// How many accepted connections may not yet have sent a frame that could be decoded; for one more, the oldest of them is closed.
+    std::uint32_t maxUnidentified_ { 512 };
+    /// What all links together hold of frames that have not arrived completely. Beyond it, the link that has held most for longest is
+    /// closed.
+    std::uint64_t maxHeldBytes_ { 268'435'456 };
+    /// What waits to be written on all links together. Beyond it, the link with most of it is closed.
+    std::uint64_t maxUnsentBytes_ { 268'435'456 };
 };
 
 /// Callbacks for the events of links; called on the thread that runs the `io_context`.
@@ -72,6 +80,10 @@
     std::uint64_t bytesSent() const;
     std::uint64_t bytesReceived() const;
 
+    /// Links that were closed because of their peer, by kind. Its handler may be set.
+    PeerFaults& faults();
+    const PeerFaults& faults() const;
+
     /// Stops accepting and connecting, and closes all links.
     void closeAll();
 
--- a/Lagoonpick/Transport/MessageHub.h
+++ b/Lagoonpick/Transport/MessageHub.h
@@ -79,6 +79,8 @@
     void abort(LinkId link) { frameHub_.abort(link); }
     std::uint64_t bytesSent() const { return frameHub_.bytesSent(); }
     std::uint64_t bytesReceived() const { return frameHub_.bytesReceived(); }
+    PeerFaults& faults() { return frameHub_.faults(); }
+    const PeerFaults& faults() const { return frameHub_.faults(); }
     void closeAll() { frameHub_.closeAll(); }
 
 private:
--- a/Lagoonpick/Transport/RunLinks.h
+++ b/Lagoonpick/Transport/RunLinks.h
@@ -10,9 +10,12 @@
 /// Less than the time after which either end gives up the other's runs.
 inline constexpr Duration maxSuspension = std::chrono::milliseconds(400);
 
-inline LinkLimits makeRunLinkLimits()
+/// The limits of links, for what all links together may hold in either direction.
+inline LinkLimits makeRunLinkLimits(std::uint64_t maxHeldBytes = 33'554'432)
 {
     LinkLimits limits;
+    limits.maxHeldBytes_ = maxHeldBytes;
+    limits.maxUnsentBytes_ = maxHeldBytes;
     limits.maxLinks_ = 2000;
     limits.maxBufferedBytes_ = 4'194'304;
     limits.maxReconnectDelay_ = std::chrono::milliseconds(250);
