Job entry and run agent: limits of peers follow the memory, with counters and bounded log lines for each kind

The callers' server, the links and the store's client of an entry get shares of memory_mb, its connections also a share by 8 KB each; the agent has constants for its memory of 128 MB. lagoonpick_peer_faults_total counts by port and kind.

--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -18,6 +18,7 @@
     HttpLimits limits;
     limits.maxConnections_ = 64;
     limits.maxBodyBytes_ = 65'536;
+    limits.maxHeldBytes_ = 2'097'152;
     limits.readTimeout_ = std::chrono::seconds(15);
     return limits;
 }
@@ -31,7 +32,7 @@
     , suspensionDetector_(maxSuspension)
     , log_(settings_.job_.name_, maxLogBytes)
     , core_(settings_.job_, seed)
-    , links_(context, makeRunLinkLimits(),
+    , links_(context, makeRunLinkLimits(settings_.linkMemoryBytes_),
           makeRunLinkEvents(
               core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); },
               [this](const std::string& sender, const Error& fault) { logFault("frame_unreadable", sender, fault.message_); }),
@@ -44,7 +45,7 @@
             respond(UsersPlatform::encodeNoSuchJob());
     })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
-    , store_(context, settings_.storeAddress_)
+    , store_(context, settings_.storeAddress_, settings_.storeMemoryBytes_)
     , configurationWatch_(context, store_, clock_, { [this](const std::string& text) { installConfiguration(text, "store"); }, [this](Time sentAt) { core_.confirmConfiguration(sentAt); }, [this](const Error& error) { log(LogLine("store_lost").text("error", error.message_)); }, [this] { log(LogLine("store_regained")); } })
     , registration_(context, store_, settings_.job_.name_, settings_.job_.linkAddress_, [this](bool isRegistered) { log(LogLine(isRegistered ? "registered" : "registration_lost")); })
     , loop_(context, { [this] { tick(); }, [this] { beginShutdown(); }, [this] { log_.write(clock_.now(), LogLine("state").text("state", dumpState())); }, [this] { reload(); } })
@@ -53,6 +54,7 @@
 
 std::string JobEntryHost::start()
 {
+    watchPeers();
     beginInput();
     log(LogLine("started").text("availability_zone", settings_.job_.availabilityZone_).text("incarnation", settings_.job_.incarnation_.toString()));
     auto fault = links_.listen(settings_.linkListenAddress_);
@@ -87,6 +89,18 @@
     return now;
 }
 
+void JobEntryHost::watchPeers()
+{
+    auto watch = [this](PeerFaults& faults, std::string_view event) {
+        faults.setHandler([this, event](PeerFault fault, const std::string& peer) { logFault(event, peer, std::string(nameOf(fault))); });
+    };
+    watch(front_.faults(), "caller_refused");
+    watch(ready_.faults(), "probe_refused");
+    watch(metrics_.faults(), "probe_refused");
+    watch(links_.faults(), "link_refused");
+    watch(store_.faults(), "store_response_dropped");
+}
+
 void JobEntryHost::logFault(std::string_view event, std::string_view sender, const std::string& fault)
 {
     Time now = clock_.now();
@@ -151,7 +165,7 @@
 {
     bool wantsState = request.path_ == "/state";
     respond({ .contentType_ = wantsState ? "application/json" : "text/plain; version=0.0.4",
-        .body_ = wantsState ? dumpState() : writeJobEntryMetrics(core_, log_, store_, front_),
+        .body_ = wantsState ? dumpState() : writeJobEntryMetrics(core_, log_, store_, { { "front", &front_.faults() }, { "ready", &ready_.faults() }, { "metrics", &metrics_.faults() }, { "links", &links_.faults() }, { "store", &store_.faults() } }),
         .stream_ = {} });
 }
 
--- a/JobEntry/JobEntryHost.h
+++ b/JobEntry/JobEntryHost.h
@@ -7,6 +7,7 @@
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Job/JobEntryCore.h"
 #include "Lagoonpick/Observability/FaultLog.h"
+#include "Lagoonpick/Observability/ProcessMetrics.h"
 #include "Lagoonpick/Transport/HostLoop.h"
 #include "Lagoonpick/Transport/HttpServer.h"
 #include "Lagoonpick/Transport/MessageHub.h"
@@ -32,6 +33,8 @@
 private:
     /// Returns the current time, after reporting to the core if the process was suspended. Called before each input is handled.
     Time beginInput();
+    /// Logs what peers are refused, within the limits of `FaultLog`.
+    void watchPeers();
     void handleFront(const HttpRequest& request, const HttpServer::Respond& respond);
     void handleMetrics(const HttpRequest& request, const HttpServer::Respond& respond) const;
     void handle(const HttpRequest&, const JobRequest&, const HttpServer::Respond&);
@@ -80,6 +83,6 @@
 };
 
 /// The entry's counters and histograms, in the Prometheus text format.
-std::string writeJobEntryMetrics(const JobEntryCore& core, const EventLog& log, const UsersPlatform::StoreClient& store, const HttpServer& front);
+std::string writeJobEntryMetrics(const JobEntryCore& core, const EventLog& log, const UsersPlatform::StoreClient& store, const PeerFaultsByPort& peers);
 
 } // namespace Lagoonpick
--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -3,7 +3,7 @@
 
 namespace Lagoonpick {
 
-std::string writeJobEntryMetrics(const JobEntryCore& core, const EventLog& log, const UsersPlatform::StoreClient& store, const HttpServer& front)
+std::string writeJobEntryMetrics(const JobEntryCore& core, const EventLog& log, const UsersPlatform::StoreClient& store, const PeerFaultsByPort& peers)
 {
     const JobEntryCounters& counters = core.counters();
     std::string text;
@@ -29,7 +29,8 @@
     writeMetricHeader(text, "lagoonpick_agents", "gauge", "Agents with a link.");
     writeMetric(text, "lagoonpick_agents", "", static_cast<double>(core.linkedAgentCount()));
     writeMetricHeader(text, "lagoonpick_connections_closed_total", "counter", "Callers' connections that were closed because there was no room for more.");
-    writeMetric(text, "lagoonpick_connections_closed_total", "", static_cast<double>(front.connectionsClosedAtLimit()));
+    writeMetric(text, "lagoonpick_connections_closed_total", "", static_cast<double>(peers.at("front")->count(PeerFault::ConnectionLimit) + peers.at("front")->count(PeerFault::MemoryLimit)));
+    writePeerFaults(text, peers);
     writeProcessMetrics(text, log, store.calls(), store.failures());
     core.jobTimes().write(text, "lagoonpick_job_seconds", "From a job's arrival to its answer, done or failed.");
     return text;
--- a/JobEntry/JobEntrySettings.cpp
+++ b/JobEntry/JobEntrySettings.cpp
@@ -19,19 +19,29 @@
 constexpr std::uint64_t maxDescriptors = 1'000'000;
 constexpr std::uint64_t maxMegabytes = 1'000'000;
 constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
-/// Request bodies may take 1/8 of the process's memory, because each is also parsed and kept with its job.
-constexpr std::uint64_t bodyMemoryDivisor = 8;
+/// What callers' connections hold may take 1/8 of the process's memory, because each request is also parsed and kept with its job. The same
+/// goes for incomplete frames, and for frames that wait to be written.
+constexpr std::uint64_t peerMemoryDivisor = 8;
+/// The store's responses may take 1/4: one of the largest size (16 MiB) must fit at the smallest memory in use (160 MB), with the spare room
+/// of a string that grows by doubling.
+constexpr std::uint64_t storeMemoryDivisor = 4;
+/// Memory of a connection that holds nothing, in user space: its session, coroutine and timers.
+constexpr std::uint64_t connectionBytes = 8192;
+constexpr std::uint64_t minConnections = 64;
 
-HttpLimits readFrontLimits(SettingsReader& reader)
+void readPeerLimits(SettingsReader& reader, JobEntrySettings& settings)
 {
-    HttpLimits limits;
+    HttpLimits& limits = settings.frontLimits_;
     auto descriptors = reader.number("limits", "descriptors", 4096, minDescriptors, maxDescriptors);
     auto megabytes = reader.number("limits", "memory_mb", 256, 1, maxMegabytes);
-    limits.maxConnections_ = static_cast<std::uint32_t>(descriptors - reservedDescriptors);
+    auto peerBytes = megabytes * bytesPerMegabyte / peerMemoryDivisor;
+    limits.maxConnections_ = static_cast<std::uint32_t>(std::min(descriptors - reservedDescriptors, std::max(peerBytes / connectionBytes, minConnections)));
     limits.maxBodyBytes_ = 262'144;
-    limits.maxHeldBytes_ = std::max(megabytes * bytesPerMegabyte / bodyMemoryDivisor, limits.maxBodyBytes_);
+    limits.maxHeldBytes_ = std::max(peerBytes, limits.maxBodyBytes_);
     limits.readTimeout_ = seconds(15);
-    return limits;
+    limits.callerTimeField_ = "Lagoonpick-Deadline-Ms";
+    settings.linkMemoryBytes_ = peerBytes;
+    settings.storeMemoryBytes_ = megabytes * bytesPerMegabyte / storeMemoryDivisor;
 }
 
 } // namespace
@@ -45,7 +55,7 @@
     settings.linkListenAddress_ = reader.address("entry", "link_address");
     job.linkAddress_ = reader.address("entry", "advertised_link_address", settings.linkListenAddress_.empty() ? "0.0.0.0:0" : settings.linkListenAddress_);
     settings.frontAddress_ = reader.address("entry", "front_address");
-    settings.frontLimits_ = readFrontLimits(reader);
+    readPeerLimits(reader, settings);
     settings.readyAddress_ = reader.address("entry", "ready_address");
     settings.metricsAddress_ = reader.address("entry", "metrics_address");
     settings.seeds_ = splitList(reader.text("entry", "seeds", "-"));
--- a/JobEntry/JobEntrySettings.h
+++ b/JobEntry/JobEntrySettings.h
@@ -16,6 +16,9 @@
     std::string frontAddress_;
     /// The limits of the callers' server, derived from the process's file descriptors and memory.
     HttpLimits frontLimits_;
+    /// What all links together may hold in either direction, and what all responses of the store together may.
+    std::uint64_t linkMemoryBytes_ { 0 };
+    std::uint64_t storeMemoryBytes_ { 0 };
     std::string readyAddress_;
     std::string metricsAddress_;
     std::string storeAddress_;
--- a/Lagoonpick/Observability/ProcessMetrics.h
+++ b/Lagoonpick/Observability/ProcessMetrics.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "Lagoonpick/Observability/EventLog.h"
+#include "Lagoonpick/Transport/PeerFault.h"
+
+#include <map>
 
 namespace Lagoonpick {
 
@@ -8,4 +11,10 @@
 /// lines, calls to the platform's store, and failed calls.
 void writeProcessMetrics(std::string& text, const EventLog& log, std::uint64_t storeCalls, std::uint64_t storeFailures);
 
+/// The faults of peers by the port or server that met them.
+using PeerFaultsByPort = std::map<std::string_view, const PeerFaults*>;
+
+/// Appends a counter for each port and each kind of fault.
+void writePeerFaults(std::string& text, const PeerFaultsByPort& peers);
+
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentHost.cpp
+++ b/RunAgent/RunAgentHost.cpp
@@ -20,6 +20,10 @@
 constexpr std::uint64_t maxTargetBodyBytes = 4'194'304;
 /// Two heartbeats of the largest size at a time; about a tenth of the agent's memory.
 constexpr std::uint64_t maxHeldHeartbeatBytes = 2 * maxTargetBodyBytes;
+/// One response of the store of the largest size (16 MiB), with the spare room of a string that grows by doubling.
+constexpr std::uint64_t maxHeldStoreBytes = 33'554'432;
+/// What links hold in either direction.
+constexpr std::uint64_t maxHeldLinkBytes = 16'777'216;
 
 HttpLimits makeServerLimits()
 {
@@ -39,7 +43,7 @@
     , suspensionDetector_(maxSuspension)
     , log_(settings_.run_.name_, maxLogBytes)
     , core_(settings_.run_)
-    , links_(context, makeRunLinkLimits(),
+    , links_(context, makeRunLinkLimits(maxHeldLinkBytes),
           makeRunLinkEvents(
               core_, [this] { return beginInput(); }, [this] { loop_.scheduleTick(); },
               [this](const std::string& sender, const Error& fault) { logFault("frame_unreadable", sender, fault.message_); }),
@@ -47,7 +51,7 @@
     , control_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleControl(request, respond); })
     , metrics_(context, makeServerLimits(), [this](const HttpRequest& request, const HttpServer::Respond& respond) { handleMetrics(request, respond); })
     , target_(context, settings_.run_.targetAddress_, maxTargetBodyBytes, maxTargetIdleTime)
-    , store_(context, settings_.storeAddress_)
+    , store_(context, settings_.storeAddress_, maxHeldStoreBytes)
     , entryDirectory_(
           context, store_, clock_,
           { [this] { updateEntryLinks(); }, [this](bool isReachable) { log(LogLine(isReachable ? "store_regained" : "store_lost")); },
@@ -59,6 +63,7 @@
 
 std::string RunAgentHost::start()
 {
+    watchPeers();
     beginInput();
     log(LogLine("started").text("availability_zone", settings_.run_.availabilityZone_).text("incarnation", settings_.run_.incarnation_.toString()).number("fencing_token", settings_.run_.fencingToken_));
     auto fault = control_.listen(settings_.run_.controlAddress_);
@@ -96,6 +101,18 @@
     return now;
 }
 
+void RunAgentHost::watchPeers()
+{
+    auto watch = [this](PeerFaults& faults, std::string_view event) {
+        faults.setHandler([this, event](PeerFault fault, const std::string& peer) { logFault(event, peer, std::string(nameOf(fault))); });
+    };
+    watch(control_.faults(), "caller_refused");
+    watch(metrics_.faults(), "probe_refused");
+    watch(links_.faults(), "link_refused");
+    watch(target_.faults(), "target_response_dropped");
+    watch(store_.faults(), "store_response_dropped");
+}
+
 void RunAgentHost::logFault(std::string_view event, std::string_view sender, const std::string& fault)
 {
     Time now = clock_.now();
@@ -152,7 +169,7 @@
 {
     bool wantsState = request.path_ == "/state";
     respond({ .contentType_ = wantsState ? "application/json" : "text/plain; version=0.0.4",
-        .body_ = wantsState ? dumpState() : writeRunAgentMetrics(core_, startDurations_, log_, store_),
+        .body_ = wantsState ? dumpState() : writeRunAgentMetrics(core_, startDurations_, log_, store_, { { "control", &control_.faults() }, { "metrics", &metrics_.faults() }, { "links", &links_.faults() }, { "target", &target_.faults() }, { "store", &store_.faults() } }),
         .stream_ = {} });
 }
 
--- a/RunAgent/RunAgentHost.h
+++ b/RunAgent/RunAgentHost.h
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Core/BootTime.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/FaultLog.h"
+#include "Lagoonpick/Observability/ProcessMetrics.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
 #include "Lagoonpick/Run/RunAgentCore.h"
 #include "Lagoonpick/Transport/HostLoop.h"
@@ -34,6 +35,8 @@
 private:
     /// Returns the current time, after reporting to the core if the process was suspended. Called before each input is handled.
     Time beginInput();
+    /// Logs what peers are refused, within the limits of `FaultLog`.
+    void watchPeers();
     /// Handles the notices of the target.
     void handleControl(const HttpRequest& request, const HttpServer::Respond& respond);
     /// Passes a heartbeat to the core and responds when the write of the target's record has ended. A drain is acknowledged
@@ -81,6 +84,6 @@
 };
 
 /// The agent's counters and histograms, in the Prometheus text format.
-std::string writeRunAgentMetrics(const RunAgentCore& core, const TimeHistogram& startDurations, const EventLog& log, const UsersPlatform::StoreClient& store);
+std::string writeRunAgentMetrics(const RunAgentCore& core, const TimeHistogram& startDurations, const EventLog& log, const UsersPlatform::StoreClient& store, const PeerFaultsByPort& peers);
 
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -4,7 +4,7 @@
 
 namespace Lagoonpick {
 
-std::string writeRunAgentMetrics(const RunAgentCore& core, const TimeHistogram& startDurations, const EventLog& log, const UsersPlatform::StoreClient& store)
+std::string writeRunAgentMetrics(const RunAgentCore& core, const TimeHistogram& startDurations, const EventLog& log, const UsersPlatform::StoreClient& store, const PeerFaultsByPort& peers)
 {
     const RunAgentCounters& counters = core.counters();
     std::string text;
@@ -26,6 +26,7 @@
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
     writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
     writeMetric(text, "lagoonpick_entries", "", static_cast<double>(core.linkedEntryCount()));
+    writePeerFaults(text, peers);
     writeProcessMetrics(text, log, store.calls(), store.failures());
     core.confirmationTimes().write(text, "lagoonpick_confirmation_seconds", "From a message's sending to an entry until the entry's confirmation was handled.");
     startDurations.write(text, "lagoonpick_start_seconds", "From a start's sending to the target's answer.");
