Job entry: connections that hold nothing have an eighth of the memory, at 4,096 bytes each

CallerTest: incomplete requests are answered with 408 when their time is over; before, their connections were closed without an answer. JobEntrySettingsTest: with 1 MB of memory there are 64 connections instead of 3,496, which would take many times the memory.

--- a/ContractTests/CallerTest.cpp
+++ b/ContractTests/CallerTest.cpp
@@ -120,9 +120,9 @@
         { "not HTTP", "hello\r\n\r\n", "400" },
         { "a header above the size limit", "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x'), "431" },
         { "a body above the size limit", "PUT /v1/jobs/x HTTP/1.1\r\nContent-Length: 30000\r\n\r\n" + std::string(30'000, 'x'), "413" },
-        { "a body shorter than its Content-Length", "PUT /v1/jobs/x HTTP/1.1\r\nContent-Length: 100\r\n\r\nshort", "" },
+        { "a body shorter than its Content-Length", "PUT /v1/jobs/x HTTP/1.1\r\nContent-Length: 100\r\n\r\nshort", "408" },
         { "a Content-Length that is not a number", "PUT /v1/jobs/x HTTP/1.1\r\nContent-Length: ten\r\n\r\n", "400" },
-        { "an incomplete request line", "PUT /v1", "" },
+        { "an incomplete request line", "PUT /v1", "408" },
         { "no bytes", "", "" },
     }));
     CAPTURE(row.description_);
--- a/JobEntry/JobEntrySettings.cpp
+++ b/JobEntry/JobEntrySettings.cpp
@@ -26,7 +26,7 @@
 /// of a string that grows by doubling.
 constexpr std::uint64_t storeMemoryDivisor = 4;
 /// Memory of a connection that holds nothing, in user space: its session, coroutine and timers.
-constexpr std::uint64_t connectionBytes = 8192;
+constexpr std::uint64_t connectionBytes = 4096;
 constexpr std::uint64_t minConnections = 64;
 
 void readPeerLimits(SettingsReader& reader, JobEntrySettings& settings)
--- a/UnitTests/UsersPlatform/JobEntrySettingsTest.cpp
+++ b/UnitTests/UsersPlatform/JobEntrySettingsTest.cpp
@@ -25,7 +25,9 @@
         { "descriptors = 3075\nmemory_mb = 120\n", 2475, 15'000'000, 0 },
         { "descriptors = 8192\nmemory_mb = 512\n", 7592, 64'000'000, 0 },
         // An eighth of 1 MB is less than one body may take, so the limit is one body.
-        { "memory_mb = 1\n", 3496, 262'144, 0 },
+        { "memory_mb = 1\n", 64, 262'144, 0 },
+        // Connections that hold nothing have an eighth of the memory, too.
+        { "descriptors = 8192\nmemory_mb = 64\n", 1953, 8'000'000, 0 },
         { "descriptors = 100\nmemory_mb = 260\n", 3496, 32'500'000, 1 },
     }));
     SettingsReader reader("entry.ini", addresses + "[limits]\n" + row.limits_);
@@ -34,4 +36,5 @@
     CHECK(reader.finish().size() == row.faults_);
     CHECK(limits.maxConnections_ == row.maxConnections_);
     CHECK(limits.maxHeldBytes_ == row.maxHeldBytes_);
+    CHECK(limits.callerTimeField_ == "Lagoonpick-Deadline-Ms");
 }
