--- a/ContractTests/HttpServerTest.cpp
+++ b/ContractTests/HttpServerTest.cpp
@@ -291,6 +291,21 @@
     CHECK(fixture.receive(large, milliseconds(100)).empty());
 }
 
+// Guards against: the newest of several idle connections was closed.
+TEST_CASE("Of connections that hold the same, the one that has waited longest is closed first", "[HttpServer]")
+{
+    auto limits = smallLimits();
+    limits.maxConnections_ = 2;
+    ServerFixture fixture(limits);
+    auto older = fixture.send("");
+    fixture.runFor(milliseconds(100));
+    auto newer = fixture.send("");
+    CHECK(statusLine(fixture.exchange(request)) == "HTTP/1.1 200");
+    asio::write(newer, asio::buffer(request));
+    CHECK(statusLine(fixture.receive(newer, milliseconds(300))) == "HTTP/1.1 200");
+    CHECK(fixture.receive(older, milliseconds(100)).empty());
+}
+
 // Guards against: a request that had begun was dropped to make room; and a refusal for lack of room that was not answered.
 TEST_CASE("A request that is being handled is never dropped for memory; one for which there is no room is refused", "[HttpServer]")
 {
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -182,7 +182,7 @@
     State(asio::io_context& context, HttpLimits limits, Handler handler)
         : context_(context)
         , acceptor_(context)
-        , limits_(limits)
+        , limits_(std::move(limits))
         , handler_(std::move(handler))
     {
     }
@@ -487,7 +487,7 @@
 };
 
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, Handler handler)
-    : state_(std::make_shared<State>(context, limits, std::move(handler)))
+    : state_(std::make_shared<State>(context, std::move(limits), std::move(handler)))
 {
 }
 
--- a/UnitTests/Transport/MessageReaderTest.cpp
+++ b/UnitTests/Transport/MessageReaderTest.cpp
@@ -163,6 +163,17 @@
     CHECK(reading.usedBytes_ == first.size());
 }
 
+// Guards against: a header was held twice, as text and as fields, while its body arrived.
+TEST_CASE("The text of a header is not held beside its fields", "[MessageReader]")
+{
+    const std::string header = post + "Content-Length: 5\r\n\r\n";
+    RequestReader reader(limits);
+    reader.put(header);
+    REQUIRE(reader.isHeadComplete());
+    CHECK(reader.heldBytes() >= header.size());
+    CHECK(reader.heldBytes() <= header.size() + 2 * 96);
+}
+
 // Guards against: interim answers without end, and answers whose end is the connection's.
 TEST_CASE("Responses are complete or faulty, the same in pieces of any size", "[MessageReader]")
 {
