Jobs that are withdrawn before their callers' time is over have a log line and a counter

A job was recalled when a returned or a slow task could not end in its caller's time, without a word on why it was then. job_withdrawn says how long it was held and which times were compared; lagoonpick_jobs_withdrawn_total counts.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -174,12 +174,21 @@
     // A job that can't end any more while its caller waits is answered at once.
     Placement placement = chooseAgent(job, job.tasks_[task], now);
     Duration finish = placement.agent_.isValid() ? placement.finish_ : job.work_;
-    if (now + shortestFinish(finish, job) > job.deadline_)
-        return recall(key, JobFailureReason::Deadline, now);
+    Duration certainFinish = shortestFinish(finish, job);
+    if (now + certainFinish > job.deadline_)
+        return withdraw(key, certainFinish, now);
     if (placement.agent_.isValid())
         startRun(placement.agent_, key, job, task, now);
 }
 
+void JobEntryCore::withdraw(JobKey key, Duration certainFinish, Time now)
+{
+    const HeldJob& job = jobs_[key];
+    ++counters_.withdrawn_;
+    log(LogLine("job_withdrawn").text("job", job.request_.id_).text("queue", job.queue_.name_).milliseconds("held_ms", now - job.arrivedAt_).milliseconds("certain_ms", certainFinish).milliseconds("limit_ms", job.deadline_ - now).number("done", job.doneCount_).flag("begun", job.hasBegun_));
+    recall(key, JobFailureReason::Deadline, now);
+}
+
 void JobEntryCore::recall(JobKey key, JobFailureReason failureReason, Time now)
 {
     HeldJob& job = jobs_[key];
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -34,6 +34,8 @@
     std::uint64_t cancelled_ { 0 };
     std::uint64_t rejected_ { 0 };
     std::uint64_t givenUp_ { 0 };
+    /// Jobs recalled before their deadline because they could not end by then; `rejected_` or `givenUp_` counts them too.
+    std::uint64_t withdrawn_ { 0 };
     /// Jobs whose callers all disconnected; `cancelled_` counts them too.
     std::uint64_t abandoned_ { 0 };
     /// Jobs done after their due time; `done_` counts them too.
@@ -160,6 +162,8 @@
     void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Duration took, Time now);
     /// Places a task again, or recalls its job if it can't end before the deadline or the task was started too often.
     void retry(JobKey key, std::uint32_t task, Time now);
+    /// Recalls a job of which a task can't end any more while its caller waits: it hardly ever ends earlier than `certainFinish` from now.
+    void withdraw(JobKey key, Duration certainFinish, Time now);
     /// Stops a job's runs and starts no more of its tasks. `finishRecall` answers the job.
     void recall(JobKey key, JobFailureReason failureReason, Time now);
     void stopRuns(HeldJob& job);
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -157,7 +157,7 @@
     bool hasOtherAgent = elsewhere.agent_.isValid() && elsewhere.agent_ != task.agent_;
     Duration timeLeft = job.deadline_ - now;
     if (remaining > timeLeft && (!hasOtherAgent || shortestFinish(elsewhere.finish_, job) > timeLeft)) {
-        recall(ref.job_, JobFailureReason::Deadline, now);
+        withdraw(ref.job_, remaining, now);
         return;
     }
     if (!hasOtherAgent || elsewhere.finish_ + moveTime > remaining)
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -210,6 +210,26 @@
     CHECK(entry.answers_[1].retryAfter_ == milliseconds(retryAfterMs));
 }
 
+// Guards against: a job whose tasks came back was held until its caller's time was over, or was answered as not run though it had begun.
+TEST_CASE("A job whose returned task can't end in its caller's time is withdrawn then, truthfully")
+{
+    auto [otherEnd, jobOutcome] = GENERATE(table<RunEnd, JobOutcome>({ { RunEnd::NotStarted, JobOutcome::Rejected }, { RunEnd::Stopped, JobOutcome::GivenUp } }));
+    JobEntryFixture entry(1);
+    entry.submit(makeRequest("job", 2));
+    REQUIRE(entry.starts_.size() == 2);
+    entry.advance(milliseconds(200));
+    entry.core_.receive(LinkId(1), fullReport(2'000'000), entry.now_);
+    entry.end(0, RunEnd::NotStarted, Wire::NotStartedReason::NoRoom);
+    CHECK(entry.core_.counters().withdrawn_ == 1);
+    CHECK(entry.lastLine("job_withdrawn").find(R"("held_ms":200.0)") != std::string::npos);
+    CHECK(entry.stops_ == 1);
+    CHECK(entry.answers_.empty());
+    entry.end(1, otherEnd, otherEnd == RunEnd::NotStarted ? Wire::NotStartedReason::Recalled : Wire::NotStartedReason::None);
+    REQUIRE(entry.answers_.size() == 1);
+    CHECK(entry.answers_[0].jobOutcome_ == jobOutcome);
+    CHECK((entry.answers_[0].retryAfter_ > Duration()) == (jobOutcome == JobOutcome::Rejected));
+}
+
 TEST_CASE("More time, less work, a more urgent queue or a shorter backlog never turn an acceptance into a refusal")
 {
     rc::prop("the decision on a job is monotonic in what it depends on, and depends on nothing else", [] {
