A less urgent job's wait includes the more urgent work that keeps arriving

Admission reckoned only with the work that was there when a job arrived. More urgent jobs that came later overtook it, so that it was held in vain. The wait is now W / (1 - share), where the share of the capacity that more urgent tasks took lately is learnt from the entry's tasks that ended and its agents' reports. It counts against a job only if the job could not end in time with the time that its tasks hardly ever stay below. Without queues of different priority the share is 0.

--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint32_t startNumberStep = 8;
 /// The smallest step in which callers are told when to come back.
 constexpr Duration minRetryAfter = std::chrono::seconds(1);
+constexpr double permille = 1000;
 constexpr std::size_t maxKeptAnswers = 20'000;
 
 std::string_view nameOf(JobOutcome outcome)
@@ -133,6 +134,7 @@
     if (end != RunEnd::NotStarted)
         job.hasBegun_ = true;
     if (end == RunEnd::Done) {
+        urgentLoad_.recordWork(job.queue_.service_, job.queue_.priority_, job.request_.need_.milliCores_, took, now);
         task.isDone_ = true;
         ++job.doneCount_;
         job.doneWork_ += work;
@@ -299,7 +301,7 @@
     LogLine line("job_rejected");
     line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
     if (admission.failureReason_ == JobFailureReason::Overloaded && admission.finishLimit_.count())
-        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
+        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).number("urgent_permille", static_cast<std::uint64_t>(admission.urgentShare_ * permille)).milliseconds("report_age_ms", admission.reportAge_);
     Duration comeBackAfter = retryAfter(admission);
     log(std::move(line.milliseconds("retry_after_ms", comeBackAfter)));
     answerCaller(caller, JobOutcome::Rejected, admission.failureReason_, comeBackAfter);
@@ -361,6 +363,7 @@
 void JobEntryCore::tick(Time now)
 {
     checkAgents(now);
+    recordUtilization(now);
     checkJobs(now);
     evictAnswers(now);
 }
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Job/JobEntryCoreSettings.h"
 #include "Lagoonpick/Job/JobTable.h"
 #include "Lagoonpick/Job/QueueTable.h"
+#include "Lagoonpick/Job/UrgentLoad.h"
 #include "Lagoonpick/Job/WorkModel.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
@@ -138,6 +139,8 @@
         Duration expectedFinish_ {};
         /// Longest accepted value of `expectedFinish_`.
         Duration finishLimit_ {};
+        /// Share of the capacity that more urgent tasks took lately.
+        double urgentShare_ { 0 };
         /// Age of the oldest target report that the decision uses.
         Duration reportAge_ {};
     };
@@ -180,6 +183,7 @@
     void checkJobs(Time now);
     void placeWaitingTasks(JobKey key, Time now);
     void checkAgents(Time now);
+    void recordUtilization(Time now);
     /// Removes an agent and ends its runs as lost.
     void removeAgent(Incarnation agent, std::string_view why, Time now);
     void evictAnswers(Time now);
@@ -193,6 +197,7 @@
     ConfigurationFetch configurationFetch_;
     Time configurationConfirmedAt_;
     WorkModel workModel_;
+    UrgentLoad urgentLoad_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
     std::map<JobKey, HeldJob> jobs_;
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -217,6 +217,26 @@
         removeAgent(incarnation, "out_of_contact", now);
 }
 
+void JobEntryCore::recordUtilization(Time now)
+{
+    struct Sums {
+        double used_ { 0 };
+        double capacity_ { 0 };
+    };
+    std::map<std::string, Sums> services;
+    for (const auto& [incarnation, agent] : agents_) {
+        if (!agent.isUsable())
+            continue;
+        Sums& sums = services[agent.report_.service_];
+        sums.used_ += agent.report_.used_.milliCores_;
+        sums.capacity_ += agent.report_.capacity_.milliCores_;
+    }
+    for (const auto& [service, sums] : services) {
+        if (sums.capacity_ > 0)
+            urgentLoad_.recordUtilization(service, std::min(sums.used_ / sums.capacity_, 1.0), now);
+    }
+}
+
 void JobEntryCore::removeAgent(Incarnation incarnation, std::string_view why, Time now)
 {
     auto found = agents_.find(incarnation);
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -73,7 +73,8 @@
 
 /// Handles the load pattern of more jobs than there is capacity for: a job that is not expected to end while its caller waits is
 /// rejected at once, so that the caller can turn elsewhere and the job takes no capacity from those that can be done. A job that
-/// would end after its due time is accepted: its caller still waits for the answer.
+/// would end after its due time is accepted: its caller still waits for the answer. The wait of a less urgent job includes the more urgent
+/// work that keeps arriving.
 JobEntryCore::Admission JobEntryCore::admit(const HeldJob& job, Time now)
 {
     struct Candidate {
@@ -94,11 +95,15 @@
         admission.failureReason_ = JobFailureReason::NoTargets;
         return admission;
     }
+    admission.urgentShare_ = urgentLoad_.shareBefore(job.queue_.service_, job.queue_.priority_, now);
     for (std::uint32_t task = 0; task < job.request_.taskCount_; ++task) {
         Candidate* best = nullptr;
         Duration earliest = Duration::max();
         for (auto& candidate : candidates) {
-            Duration finish = estimateCompletion(candidate.load_, job.request_.need_, candidate.work_).finish();
+            CompletionEstimate estimate = estimateCompletion(candidate.load_, job.request_.need_, candidate.work_);
+            // More urgent work may stop arriving, so that it counts only against a job that it would keep from ending in any case.
+            Duration afterUrgent = lengthenWait(estimate.wait_, admission.urgentShare_) + shortestFinish(estimate.run_, job);
+            Duration finish = std::max<Duration>(estimate.finish(), afterUrgent);
             if (finish < earliest) {
                 earliest = finish;
                 best = &candidate;
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -21,8 +21,22 @@
     std::uint32_t workMs_;
     std::uint32_t tasks_;
     std::uint32_t priority_;
+    /// Tasks of the most urgent queue, and of the least urgent one, that ended lately.
+    std::uint32_t urgentTasks_ { 0 };
+    std::uint32_t otherTasks_ { 0 };
 };
 
+/// Lets tasks of a queue with this path run and end, one after the other.
+void runTasks(JobEntryFixture& entry, const std::string& path, std::uint32_t count)
+{
+    for (std::uint32_t i = 0; i < count; ++i) {
+        JobRequest request = makeRequest(path + std::to_string(i));
+        request.path_ = path;
+        entry.submit(request);
+        entry.end(entry.starts_.size() - 1, RunEnd::Done, Wire::NotStartedReason::None, milliseconds(100));
+    }
+}
+
 /// Whether a job is accepted in this state by an entry with this seed, `others` jobs of another queue having been refused before.
 bool isAccepted(const AdmissionState& state, int others = 0)
 {
@@ -32,13 +46,23 @@
     rules.push_back(rules.front());
     rules.back().prefix_ = "/other/";
     rules.back().name_ = "other";
+    for (std::uint32_t priority : { 0, 3 }) {
+        rules.push_back(rules.front());
+        rules.back().priority_ = priority;
+        rules.back().name_ = "priority-" + std::to_string(priority);
+        rules.back().prefix_ = "/" + std::to_string(priority) + "/";
+    }
     entry.core_.setQueues(QueueTable(2, rules), "text");
+    entry.advance(milliseconds(20));
+    runTasks(entry, "/0/", state.urgentTasks_);
+    runTasks(entry, "/3/", state.otherTasks_);
     auto full = openReport(4000);
     full.used_ = { 4000, 10, 0 };
     full.backlogMicroseconds_ = state.backlogOfUrgentMs_ * 1000;
     full.queuedBacklogs_ = { { 2, 0, (state.backlogOfUrgentMs_ + state.backlogMs_) * 1000 } };
     entry.core_.receive(LinkId(1), full, entry.now_);
     entry.core_.receive(LinkId(2), full, entry.now_);
+    entry.advance(milliseconds(1000));
     JobRequest other = makeRequest("other");
     other.path_ = "/other/";
     other.callerTimeout_ = milliseconds(1);
@@ -210,6 +234,53 @@
     CHECK(entry.answers_[1].retryAfter_ == milliseconds(retryAfterMs));
 }
 
+// Guards against: a less urgent job was accepted for a wait that more urgent ones, which kept arriving, made longer than its caller's time.
+TEST_CASE("A less urgent job is rejected if the more urgent work that keeps arriving leaves too little for it")
+{
+    struct Row {
+        std::string name_;
+        std::uint32_t urgentTasks_;
+        std::uint32_t otherTasks_;
+        std::uint32_t priority_;
+        std::uint64_t backlogMs_;
+        bool isAccepted_;
+    };
+    // The job takes 100 ms, and its caller waits 1,460 ms. The targets have been full for 1 s, which counts for about half.
+    auto row = GENERATE(values<Row>({
+        { "nothing ran lately", 0, 0, 2, 1000, true },
+        { "all of what ran was more urgent", 6, 0, 2, 1000, false },
+        { "the wait is short", 6, 0, 2, 300, true },
+        { "a sixth was more urgent", 1, 5, 2, 1000, true },
+        { "the job is as urgent", 6, 0, 0, 1000, true },
+    }));
+    INFO(row.name_);
+    CHECK(isAccepted({ row.backlogMs_, 0, 1500, 100, 1, row.priority_, row.urgentTasks_, row.otherTasks_ }) == row.isAccepted_);
+}
+
+TEST_CASE("The share of more urgent work is that of the capacity in use, and is forgotten")
+{
+    const Time start { std::chrono::hours(1) };
+    UrgentLoad load;
+    CHECK(load.shareBefore("service", 2, start) == 0);
+    load.recordUtilization("service", 0.8, start);
+    load.recordWork("service", 0, 1000, milliseconds(100), start);
+    load.recordWork("service", 1, 500, milliseconds(400), start);
+    load.recordWork("service", 2, 1000, milliseconds(100), start);
+    load.recordWork("other", 0, 1000, milliseconds(9000), start);
+    CHECK(load.shareBefore("service", 0, start) == 0);
+    CHECK(load.shareBefore("service", 1, start) == Approx(0.2));
+    CHECK(load.shareBefore("service", 2, start) == Approx(0.6));
+    CHECK(load.shareBefore("service", 3, start) == Approx(0.8));
+    const Time later = start + milliseconds(6000);
+    load.recordWork("service", 2, 1000, milliseconds(100), later);
+    load.recordUtilization("service", 0.4, later);
+    CHECK(load.shareBefore("service", 2, later) < 0.03);
+    CHECK(load.shareBefore("service", 3, later) == Approx(0.4).epsilon(0.05));
+    CHECK(lengthenWait(milliseconds(100), 0) == milliseconds(100));
+    CHECK(lengthenWait(milliseconds(100), 0.75) == milliseconds(400));
+    CHECK(lengthenWait(milliseconds(100), 1) == milliseconds(1000));
+}
+
 // Guards against: a job whose tasks came back was held until its caller's time was over, or was answered as not run though it had begun.
 TEST_CASE("A job whose returned task can't end in its caller's time is withdrawn then, truthfully")
 {
@@ -234,7 +305,7 @@
 {
     rc::prop("the decision on a job is monotonic in what it depends on, and depends on nothing else", [] {
         auto number = [](std::uint32_t from, std::uint32_t to) { return *rc::gen::inRange<std::uint32_t>(from, to); };
-        const AdmissionState state { number(0, 3000), number(0, 1500), number(100, 5000), number(1, 1500), number(1, 20), number(0, 4) };
+        const AdmissionState state { number(0, 3000), number(0, 1500), number(100, 5000), number(1, 1500), number(1, 20), number(0, 4), number(0, 6), number(0, 6) };
         bool accepted = isAccepted(state);
         RC_ASSERT(isAccepted(state, static_cast<int>(number(0, 20))) == accepted);
         if (!accepted)
@@ -244,6 +315,7 @@
         easier.workMs_ = number(1, state.workMs_ + 1);
         easier.tasks_ = number(1, state.tasks_ + 1);
         easier.priority_ = number(0, state.priority_ + 1);
+        easier.urgentTasks_ = number(0, state.urgentTasks_ + 1);
         easier.backlogMs_ = number(0, static_cast<std::uint32_t>(state.backlogMs_) + 1);
         easier.backlogOfUrgentMs_ = number(0, static_cast<std::uint32_t>(state.backlogOfUrgentMs_) + 1);
         RC_ASSERT(isAccepted(easier));
