A test that an urgent job finds no wait for less urgent work that has not begun

Displacement was to take room from less urgent jobs that wait when an urgent one would be rejected. No such case is left: the test holds on the present decisions, so that none was added.

--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -24,6 +24,8 @@
     /// Tasks of the most urgent queue, and of the least urgent one, that ended lately.
     std::uint32_t urgentTasks_ { 0 };
     std::uint32_t otherTasks_ { 0 };
+    /// Tasks of the queue of priority 2 that wait on each target; `backlogMs_` is their work.
+    std::uint32_t queuedTasks_ { 0 };
 };
 
 /// Lets tasks of a queue with this path run and end, one after the other.
@@ -58,6 +60,7 @@
     runTasks(entry, "/3/", state.otherTasks_);
     auto full = openReport(4000);
     full.used_ = { 4000, 10, 0 };
+    full.queued_ = { 1000 * state.queuedTasks_, 10 * state.queuedTasks_, 0 };
     full.backlogMicroseconds_ = state.backlogOfUrgentMs_ * 1000;
     full.queuedBacklogs_ = { { 2, 0, (state.backlogOfUrgentMs_ + state.backlogMs_) * 1000 } };
     entry.core_.receive(LinkId(1), full, entry.now_);
@@ -322,6 +325,19 @@
     });
 }
 
+// Guards against: an urgent job was rejected for lack of room while less urgent ones waited that had not begun.
+TEST_CASE("An urgent job is accepted or rejected as if no less urgent work waited")
+{
+    rc::prop("less urgent work that has not begun takes no room from an urgent job", [] {
+        auto number = [](std::uint32_t from, std::uint32_t to) { return *rc::gen::inRange<std::uint32_t>(from, to); };
+        AdmissionState state { number(0, 3000), number(0, 1500), number(100, 3000), number(1, 1500), number(1, 20), number(0, 2), number(0, 4), number(0, 4), number(0, 30) };
+        AdmissionState alone = state;
+        alone.backlogMs_ = 0;
+        alone.queuedTasks_ = 0;
+        RC_ASSERT(isAccepted(state) == isAccepted(alone));
+    });
+}
+
 TEST_CASE("A target's expected wait grows with the load beyond its capacity")
 {
     struct Row {
