Tasks find the targets of their data's rack among many, and wait there if that ends sooner

chooseAgent looked at eight random targets with room, of all racks. In a test with 62 targets, seven of them on the rack of a job's data, 11 of 40 tasks went elsewhere while the rack was idle, and none of 40 waited 20 or 60 ms there though running elsewhere cost 100 ms more. The rack's targets and the others are sampled apart now, and full ones of the rack are considered if the best one with room is elsewhere: 40 of 40.

--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -122,6 +122,8 @@
     static std::uint64_t confirmAgentTime(AgentRow& agent);
     /// True if the agent's target is usable, serves the job's queue, has the required label and is large enough for a task.
     bool canRun(const HeldJob& job, const AgentRow& agent) const;
+    /// True if a task takes longer on the agent's target because the job's data is on another rack.
+    bool isRemote(const HeldJob& job, const AgentRow& agent) const;
     /// Expected run time of a task at a slowdown of 1, with the penalty for a target on another rack than the job's data.
     Duration expectedWork(const HeldJob& job, const AgentRow& agent) const;
     /// The run time at a slowdown of 1, on a target on the rack of the job's data, of a task that took this long on an agent's target.
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -12,7 +12,7 @@
 /// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait: by then the expectation was wrong,
 /// and another target may have room.
 constexpr Duration::rep maxWaitFactor = 2;
-/// Maximum number of targets with room, and of full targets, that are considered for a task.
+/// Maximum number of targets with room, and of full targets, that are considered for a task; on the rack of its data, and elsewhere.
 constexpr std::size_t maxSampleSize = 8;
 /// Full targets are considered too if a task is expected to end later than this multiple of its expected run time: it may end
 /// sooner by waiting there.
@@ -40,13 +40,16 @@
     return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
-Duration JobEntryCore::expectedWork(const HeldJob& job, const AgentRow& agent) const
+bool JobEntryCore::isRemote(const HeldJob& job, const AgentRow& agent) const
 {
     const auto& labels = agent.report_.labels_;
     const std::string& rack = job.request_.rack_;
-    if (rack.empty() || std::find(labels.begin(), labels.end(), rack) != labels.end())
-        return job.work_;
-    return scale(job.work_, settings_.remoteFactor_);
+    return settings_.remoteFactor_ != 1 && !rack.empty() && std::find(labels.begin(), labels.end(), rack) == labels.end();
+}
+
+Duration JobEntryCore::expectedWork(const HeldJob& job, const AgentRow& agent) const
+{
+    return isRemote(job, agent) ? scale(job.work_, settings_.remoteFactor_) : job.work_;
 }
 
 Duration JobEntryCore::workOf(Duration took, const HeldJob& job, const AgentRow& agent) const
@@ -146,6 +149,8 @@
 {
     bool avoidsSuspects = mustAvoidSuspects();
     Sample sample;
+    // Sampled apart: among a random few of all targets there would often be none of the rack of the job's data.
+    Sample remote;
     for (const auto& [incarnation, agent] : agents_) {
         if (!canRun(job, agent))
             continue;
@@ -153,15 +158,19 @@
         if (agent.report_.isSuspect_ && avoidsSuspects && (now < agent.nextProbe_ || task.failures_))
             continue;
         bool hasSpace = hasRoom(agent.report_.capacity_, agent.committed(), job.request_.need_);
-        (hasSpace ? sample.free_ : sample.full_).push_back(incarnation);
+        Sample& group = isRemote(job, agent) ? remote : sample;
+        (hasSpace ? group.free_ : group.full_).push_back(incarnation);
     }
-    keepRandomSample(sample.free_);
-    keepRandomSample(sample.full_);
+    for (auto* list : { &sample.free_, &sample.full_, &remote.free_, &remote.full_ })
+        keepRandomSample(*list);
+    sample.free_.insert(sample.free_.end(), remote.free_.begin(), remote.free_.end());
+    sample.full_.insert(sample.full_.end(), remote.full_.begin(), remote.full_.end());
     return sample;
 }
 
-/// Handles two load patterns: many entries that choose by outdated reports, so that each entry considers a random sample of
-/// targets; and targets that became slow, which have room when all others are full.
+/// Handles three load patterns: many entries that choose by outdated reports, so that each entry considers a random sample of
+/// targets; targets that became slow, which have room when all others are full; and many jobs whose data is on one rack, which wait
+/// there as long as that costs less than running elsewhere.
 JobEntryCore::Placement JobEntryCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
 {
     std::uniform_real_distribution<double> spread(1 - loadWeightJitter, 1 + loadWeightJitter);
@@ -184,7 +193,9 @@
     };
     Sample sample = sampleAgents(job, task, now);
     consider(sample.free_);
-    if (!best.agent_.isValid() || best.finish_ > job.work_ * fullTargetsFactor)
+    // Waiting on the rack of the job's data may cost less than running elsewhere.
+    bool mayGainByWaiting = !best.agent_.isValid() || best.finish_ > job.work_ * fullTargetsFactor || isRemote(job, agents_[best.agent_]);
+    if (mayGainByWaiting)
         consider(sample.full_);
     return best;
 }
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonpick/Core/Underlying.h"
 #include "UnitTests/Runs/JobEntryFixture.h"
 
 #include <catch2/catch.hpp>
@@ -284,6 +285,67 @@
     CHECK(lengthenWait(milliseconds(100), 1) == milliseconds(1000));
 }
 
+// Guards against: tasks whose data is on a rack with room, or with a short wait, went to other racks, because none of the rack's targets was
+// among those that the entry considered.
+TEST_CASE("A task goes to the rack of its data unless waiting there costs more than running elsewhere")
+{
+    constexpr int targets = 62;
+    constexpr int targetsOnRack = 7;
+    constexpr int jobs = 40;
+    // A task takes 100 ms on the rack, and 200 ms elsewhere; a full target has room after the wait and 10 ms for the overflow.
+    auto [isFull, waitMs, goesToRack] = GENERATE(table<bool, std::uint64_t, bool>({ { false, 0, true }, { true, 20, true }, { true, 60, true }, { true, 150, false } }));
+    INFO("full " << isFull << ", wait " << waitMs);
+    int onRack = 0;
+    for (int i = 0; i < jobs; ++i) {
+        JobEntryFixture entry(targets, 2);
+        for (std::uint64_t agent = 1; agent <= targets; ++agent) {
+            auto report = openReport();
+            bool isOnRack = agent % (targets / targetsOnRack) == 0 && agent / (targets / targetsOnRack) <= targetsOnRack;
+            report.labels_ = { isOnRack ? "rack-hot" : "rack-other" };
+            if (isOnRack && isFull) {
+                report.used_ = { 10'000, 10, 0 };
+                report.backlogMicroseconds_ = waitMs * 1000;
+            }
+            entry.core_.receive(LinkId(agent), report, entry.now_);
+        }
+        // Other choices of the same random source for each job.
+        for (int other = 0; other < i; ++other)
+            entry.submit(makeRequest("other-" + std::to_string(other)), 1000 + static_cast<std::uint64_t>(other));
+        std::size_t first = entry.starts_.size();
+        JobRequest request = makeRequest("job");
+        request.rack_ = "rack-hot";
+        entry.submit(request);
+        REQUIRE(entry.starts_.size() == first + 1);
+        std::uint64_t agent = toUnderlying(entry.starts_[first].first);
+        onRack += agent % (targets / targetsOnRack) == 0 && agent / (targets / targetsOnRack) <= targetsOnRack ? 1 : 0;
+    }
+    CHECK(onRack == (goesToRack ? jobs : 0));
+}
+
+// Guards against: a hot rack's targets were chosen by all jobs that prefer it, however long these had to wait there.
+TEST_CASE("Jobs that prefer one rack use the others once its targets are full")
+{
+    constexpr int jobs = 60;
+    JobEntryFixture entry(8, 2);
+    for (std::uint64_t agent = 1; agent <= 8; ++agent) {
+        auto report = openReport(4000);
+        report.labels_ = { agent <= 2 ? "rack-hot" : "rack-other" };
+        report.typicalMicroseconds_ = 100'000;
+        entry.core_.receive(LinkId(agent), report, entry.now_);
+    }
+    int onRack = 0;
+    for (int i = 0; i < jobs; ++i) {
+        JobRequest request = makeRequest("job-" + std::to_string(i));
+        request.rack_ = "rack-hot";
+        entry.submit(request);
+        onRack += entry.starts_.size() == static_cast<std::size_t>(i) + 1 && toUnderlying(entry.starts_.back().first) <= 2 ? 1 : 0;
+    }
+    REQUIRE(entry.starts_.size() == jobs);
+    // 8 places on the rack and 24 elsewhere. A full rack target costs as much as a remote run once as many wait there as fit.
+    CHECK(onRack >= 8);
+    CHECK(onRack <= 36);
+}
+
 // Guards against: a job whose tasks came back was held until its caller's time was over, or was answered as not run though it had begun.
 TEST_CASE("A job whose returned task can't end in its caller's time is withdrawn then, truthfully")
 {
--- a/UnitTests/Runs/JobEntryFixture.h
+++ b/UnitTests/Runs/JobEntryFixture.h
@@ -28,8 +28,8 @@
 /// A `JobEntryCore` with linked agents whose messages and clock the test controls.
 class JobEntryFixture {
 public:
-    explicit JobEntryFixture(std::uint64_t agents = 2)
-        : core_(JobEntryCoreSettings { .name_ = "entry", .incarnation_ = Incarnation(1), .linkAddress_ = "10.0.0.1:1" }, 1)
+    explicit JobEntryFixture(std::uint64_t agents = 2, double remoteFactor = 1)
+        : core_(JobEntryCoreSettings { .name_ = "entry", .incarnation_ = Incarnation(1), .linkAddress_ = "10.0.0.1:1", .remoteFactor_ = remoteFactor }, 1)
     {
         core_.setQueues(makeQueues(1), "text");
         core_.confirmConfiguration(now_);
