--- a/ContractTests/OperatorWatchTest.cpp
+++ b/ContractTests/OperatorWatchTest.cpp
@@ -25,7 +25,7 @@
     /// How long ago the configuration was the newest, at each confirmation.
     std::vector<Duration> ages_;
     std::vector<UsersPlatform::EvacuationReading> readings_;
-    OperatorWatch watch_ { context_, store_, clock_, { [](const std::string&) {}, [this](const UsersPlatform::EvacuationReading& reading) { readings_.push_back(reading); }, [this](Time sentAt) { ages_.push_back(clock_.now() - sentAt); }, [](const Error&) {}, [] {} } };
+    OperatorWatch watch_ { context_, store_, clock_, { [](const std::string&) {}, [] {}, [this](const UsersPlatform::EvacuationReading& reading) { readings_.push_back(reading); }, [this](Time sentAt) { ages_.push_back(clock_.now() - sentAt); }, [](const Error&) {}, [] {} } };
 
     WatchFixture()
     {
--- a/Lagoonpick/Job/JobEntryCore.cpp
+++ b/Lagoonpick/Job/JobEntryCore.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint32_t startNumberStep = 8;
 /// The smallest step in which callers are told when to come back.
 constexpr Duration minRetryAfter = std::chrono::seconds(1);
+constexpr double permille = 1000;
 constexpr std::size_t maxKeptAnswers = 20'000;
 
 std::string_view nameOf(JobOutcome outcome)
@@ -131,6 +132,7 @@
     if (end != RunEnd::NotStarted)
         job.hasBegun_ = true;
     if (end == RunEnd::Done) {
+        urgentLoad_.recordWork(job.queue_.service_, job.queue_.priority_, job.request_.need_.milliCores_, took, now);
         task.isDone_ = true;
         ++job.doneCount_;
         job.doneWork_ += work;
@@ -172,12 +174,21 @@
     // A job that can't end any more while its caller waits is answered at once.
     Placement placement = chooseAgent(job, job.tasks_[task], now);
     Duration finish = placement.agent_.isValid() ? placement.finish_ : job.work_;
-    if (now + shortestFinish(finish, job) > job.deadline_)
-        return recall(key, JobFailureReason::Deadline, now);
+    Duration certainFinish = shortestFinish(finish, job);
+    if (now + certainFinish > job.deadline_)
+        return withdraw(key, certainFinish, now);
     if (placement.agent_.isValid())
         startRun(placement.agent_, key, job, task, now);
 }
 
+void JobEntryCore::withdraw(JobKey key, Duration certainFinish, Time now)
+{
+    const HeldJob& job = jobs_[key];
+    ++counters_.withdrawn_;
+    log(LogLine("job_withdrawn").text("job", job.request_.id_).text("queue", job.queue_.name_).milliseconds("held_ms", now - job.arrivedAt_).milliseconds("certain_ms", certainFinish).milliseconds("limit_ms", job.deadline_ - now).number("done", job.doneCount_).flag("begun", job.hasBegun_));
+    recall(key, JobFailureReason::Deadline, now);
+}
+
 void JobEntryCore::recall(JobKey key, JobFailureReason failureReason, Time now)
 {
     HeldJob& job = jobs_[key];
@@ -288,7 +299,7 @@
     LogLine line("job_rejected");
     line.text("job", request.id_).text("why", nameOf(admission.failureReason_)).number("configuration", queues_.version()).number("targets", usable).number("zones_revision", evacuation_.revision()).number("zones_evacuated", evacuation_.set().names_.size()).number("jobs", jobs_.size()).number("tasks", request.taskCount_);
     if (admission.finishLimit_.count())
-        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).milliseconds("report_age_ms", admission.reportAge_);
+        line.milliseconds("expected_ms", admission.expectedFinish_).milliseconds("limit_ms", admission.finishLimit_).number("urgent_permille", static_cast<std::uint64_t>(admission.urgentShare_ * permille)).milliseconds("report_age_ms", admission.reportAge_);
     Duration comeBackAfter = retryAfter(admission);
     log(std::move(line.milliseconds("retry_after_ms", comeBackAfter)));
     answerCaller(caller, JobOutcome::Rejected, admission.failureReason_, comeBackAfter);
@@ -355,6 +366,7 @@
 void JobEntryCore::tick(Time now)
 {
     checkAgents(now);
+    recordUtilization(now);
     checkJobs(now);
     evictAnswers(now);
 }
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -4,6 +4,7 @@
 #include "Lagoonpick/Job/JobEntryCoreSettings.h"
 #include "Lagoonpick/Job/JobTable.h"
 #include "Lagoonpick/Job/QueueTable.h"
+#include "Lagoonpick/Job/UrgentLoad.h"
 #include "Lagoonpick/Job/WorkModel.h"
 #include "Lagoonpick/Observability/EventLog.h"
 #include "Lagoonpick/Observability/TimeHistogram.h"
@@ -35,6 +36,8 @@
     std::uint64_t cancelled_ { 0 };
     std::uint64_t rejected_ { 0 };
     std::uint64_t givenUp_ { 0 };
+    /// Jobs recalled before their deadline because they could not end by then; `rejected_` or `givenUp_` counts them too.
+    std::uint64_t withdrawn_ { 0 };
     /// Jobs whose callers all disconnected; `cancelled_` counts them too.
     std::uint64_t abandoned_ { 0 };
     /// Jobs done after their due time; `done_` counts them too.
@@ -130,6 +133,8 @@
     static std::uint64_t confirmAgentTime(AgentRow& agent);
     /// True if the agent's target is usable, serves the job's queue, has the required label and is large enough for a task.
     bool canRun(const HeldJob& job, const AgentRow& agent) const;
+    /// True if a task takes longer on the agent's target because the job's data is on another rack.
+    bool isRemote(const HeldJob& job, const AgentRow& agent) const;
     /// Expected run time of a task at a slowdown of 1, with the penalty for a target on another rack than the job's data.
     Duration expectedWork(const HeldJob& job, const AgentRow& agent) const;
     /// The run time at a slowdown of 1, on a target on the rack of the job's data, of a task that took this long on an agent's target.
@@ -149,6 +154,8 @@
         Duration expectedFinish_ {};
         /// Longest accepted value of `expectedFinish_`.
         Duration finishLimit_ {};
+        /// Share of the capacity that more urgent tasks took lately.
+        double urgentShare_ { 0 };
         /// Age of the oldest target report that the decision uses.
         Duration reportAge_ {};
     };
@@ -175,6 +182,8 @@
     void endRun(std::uint64_t run, Wire::RunEnd end, Wire::NotStartedReason reason, Duration took, Time now);
     /// Places a task again, or recalls its job if it can't end before the deadline or the task was started too often.
     void retry(JobKey key, std::uint32_t task, Time now);
+    /// Recalls a job of which a task can't end any more while its caller waits: it hardly ever ends earlier than `certainFinish` from now.
+    void withdraw(JobKey key, Duration certainFinish, Time now);
     /// Stops a job's runs and starts no more of its tasks. `finishRecall` answers the job.
     void recall(JobKey key, JobFailureReason failureReason, Time now);
     void stopRuns(HeldJob& job);
@@ -191,6 +200,7 @@
     void checkJobs(Time now);
     void placeWaitingTasks(JobKey key, Time now);
     void checkAgents(Time now);
+    void recordUtilization(Time now);
     /// Removes an agent and ends its runs as lost.
     void removeAgent(Incarnation agent, std::string_view why, Time now);
     void evictAnswers(Time now);
@@ -205,6 +215,7 @@
     Time configurationConfirmedAt_;
     EvacuationState evacuation_;
     WorkModel workModel_;
+    UrgentLoad urgentLoad_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
     std::map<JobKey, HeldJob> jobs_;
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -12,7 +12,7 @@
 /// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait: by then the expectation was wrong,
 /// and another target may have room.
 constexpr Duration::rep maxWaitFactor = 2;
-/// Maximum number of targets with room, and of full targets, that are considered for a task.
+/// Maximum number of targets with room, and of full targets, that are considered for a task; on the rack of its data, and elsewhere.
 constexpr std::size_t maxSampleSize = 8;
 /// Full targets are considered too if a task is expected to end later than this multiple of its expected run time: it may end
 /// sooner by waiting there.
@@ -40,13 +40,16 @@
     return required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end();
 }
 
-Duration JobEntryCore::expectedWork(const HeldJob& job, const AgentRow& agent) const
+bool JobEntryCore::isRemote(const HeldJob& job, const AgentRow& agent) const
 {
     const auto& labels = agent.report_.labels_;
     const std::string& rack = job.request_.rack_;
-    if (rack.empty() || std::find(labels.begin(), labels.end(), rack) != labels.end())
-        return job.work_;
-    return scale(job.work_, settings_.remoteFactor_);
+    return settings_.remoteFactor_ != 1 && !rack.empty() && std::find(labels.begin(), labels.end(), rack) == labels.end();
+}
+
+Duration JobEntryCore::expectedWork(const HeldJob& job, const AgentRow& agent) const
+{
+    return isRemote(job, agent) ? scale(job.work_, settings_.remoteFactor_) : job.work_;
 }
 
 Duration JobEntryCore::workOf(Duration took, const HeldJob& job, const AgentRow& agent) const
@@ -85,7 +88,8 @@
 
 /// Handles the load pattern of more jobs than there is capacity for: a job that is not expected to end while its caller waits is
 /// rejected at once, so that the caller can turn elsewhere and the job takes no capacity from those that can be done. A job that
-/// would end after its due time is accepted: its caller still waits for the answer.
+/// would end after its due time is accepted: its caller still waits for the answer. The wait of a less urgent job includes the more urgent
+/// work that keeps arriving.
 JobEntryCore::Admission JobEntryCore::admit(const HeldJob& job, Time now)
 {
     struct Candidate {
@@ -106,11 +110,15 @@
         admission.failureReason_ = JobFailureReason::NoTargets;
         return admission;
     }
+    admission.urgentShare_ = urgentLoad_.shareBefore(job.queue_.service_, job.queue_.priority_, now);
     for (std::uint32_t task = 0; task < job.request_.taskCount_; ++task) {
         Candidate* best = nullptr;
         Duration earliest = Duration::max();
         for (auto& candidate : candidates) {
-            Duration finish = estimateCompletion(candidate.load_, job.request_.need_, candidate.work_).finish();
+            CompletionEstimate estimate = estimateCompletion(candidate.load_, job.request_.need_, candidate.work_);
+            // More urgent work may stop arriving, so that it counts only against a job that it would keep from ending in any case.
+            Duration afterUrgent = lengthenWait(estimate.wait_, admission.urgentShare_) + shortestFinish(estimate.run_, job);
+            Duration finish = std::max<Duration>(estimate.finish(), afterUrgent);
             if (finish < earliest) {
                 earliest = finish;
                 best = &candidate;
@@ -156,6 +164,8 @@
 {
     bool avoidsSuspects = mustAvoidSuspects();
     Sample sample;
+    // Sampled apart: among a random few of all targets there would often be none of the rack of the job's data.
+    Sample remote;
     for (const auto& [incarnation, agent] : agents_) {
         if (!canRun(job, agent))
             continue;
@@ -163,15 +173,19 @@
         if (agent.report_.isSuspect_ && avoidsSuspects && (now < agent.nextProbe_ || task.failures_))
             continue;
         bool hasSpace = hasRoom(agent.report_.capacity_, agent.committed(), job.request_.need_);
-        (hasSpace ? sample.free_ : sample.full_).push_back(incarnation);
+        Sample& group = isRemote(job, agent) ? remote : sample;
+        (hasSpace ? group.free_ : group.full_).push_back(incarnation);
     }
-    keepRandomSample(sample.free_);
-    keepRandomSample(sample.full_);
+    for (auto* list : { &sample.free_, &sample.full_, &remote.free_, &remote.full_ })
+        keepRandomSample(*list);
+    sample.free_.insert(sample.free_.end(), remote.free_.begin(), remote.free_.end());
+    sample.full_.insert(sample.full_.end(), remote.full_.begin(), remote.full_.end());
     return sample;
 }
 
-/// Handles two load patterns: many entries that choose by outdated reports, so that each entry considers a random sample of
-/// targets; and targets that became slow, which have room when all others are full.
+/// Handles three load patterns: many entries that choose by outdated reports, so that each entry considers a random sample of
+/// targets; targets that became slow, which have room when all others are full; and many jobs whose data is on one rack, which wait
+/// there as long as that costs less than running elsewhere.
 JobEntryCore::Placement JobEntryCore::chooseAgent(const HeldJob& job, const JobTask& task, Time now)
 {
     std::uniform_real_distribution<double> spread(1 - loadWeightJitter, 1 + loadWeightJitter);
@@ -194,7 +208,9 @@
     };
     Sample sample = sampleAgents(job, task, now);
     consider(sample.free_);
-    if (!best.agent_.isValid() || best.finish_ > job.work_ * fullTargetsFactor)
+    // Waiting on the rack of the job's data may cost less than running elsewhere.
+    bool mayGainByWaiting = !best.agent_.isValid() || best.finish_ > job.work_ * fullTargetsFactor || isRemote(job, agents_[best.agent_]);
+    if (mayGainByWaiting)
         consider(sample.full_);
     return best;
 }
--- a/UnitTests/Runs/JobEntryAdmissionTest.cpp
+++ b/UnitTests/Runs/JobEntryAdmissionTest.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonpick/Core/Underlying.h"
 #include "UnitTests/Runs/JobEntryFixture.h"
 
 #include <catch2/catch.hpp>
@@ -21,8 +22,24 @@
     std::uint32_t workMs_;
     std::uint32_t tasks_;
     std::uint32_t priority_;
+    /// Tasks of the most urgent queue, and of the least urgent one, that ended lately.
+    std::uint32_t urgentTasks_ { 0 };
+    std::uint32_t otherTasks_ { 0 };
+    /// Tasks of the queue of priority 2 that wait on each target; `backlogMs_` is their work.
+    std::uint32_t queuedTasks_ { 0 };
 };
 
+/// Lets tasks of a queue with this path run and end, one after the other.
+void runTasks(JobEntryFixture& entry, const std::string& path, std::uint32_t count)
+{
+    for (std::uint32_t i = 0; i < count; ++i) {
+        JobRequest request = makeRequest(path + std::to_string(i));
+        request.path_ = path;
+        entry.submit(request);
+        entry.end(entry.starts_.size() - 1, RunEnd::Done, Wire::NotStartedReason::None, milliseconds(100));
+    }
+}
+
 /// Whether a job is accepted in this state by an entry with this seed, `others` jobs of another queue having been refused before.
 bool isAccepted(const AdmissionState& state, int others = 0)
 {
@@ -32,13 +49,24 @@
     rules.push_back(rules.front());
     rules.back().prefix_ = "/other/";
     rules.back().name_ = "other";
+    for (std::uint32_t priority : { 0, 3 }) {
+        rules.push_back(rules.front());
+        rules.back().priority_ = priority;
+        rules.back().name_ = "priority-" + std::to_string(priority);
+        rules.back().prefix_ = "/" + std::to_string(priority) + "/";
+    }
     entry.core_.setQueues(QueueTable(2, rules), "text");
+    entry.advance(milliseconds(20));
+    runTasks(entry, "/0/", state.urgentTasks_);
+    runTasks(entry, "/3/", state.otherTasks_);
     auto full = openReport(4000);
     full.used_ = { 4000, 10, 0 };
+    full.queued_ = { 1000 * state.queuedTasks_, 10 * state.queuedTasks_, 0 };
     full.backlogMicroseconds_ = state.backlogOfUrgentMs_ * 1000;
     full.queuedBacklogs_ = { { 2, 0, (state.backlogOfUrgentMs_ + state.backlogMs_) * 1000 } };
     entry.core_.receive(LinkId(1), full, entry.now_);
     entry.core_.receive(LinkId(2), full, entry.now_);
+    entry.advance(milliseconds(1000));
     JobRequest other = makeRequest("other");
     other.path_ = "/other/";
     other.callerTimeout_ = milliseconds(1);
@@ -256,11 +284,139 @@
     CHECK(entry.answers_[1].retryAfter_ == milliseconds(retryAfterMs));
 }
 
+// Guards against: a less urgent job was accepted for a wait that more urgent ones, which kept arriving, made longer than its caller's time.
+TEST_CASE("A less urgent job is rejected if the more urgent work that keeps arriving leaves too little for it")
+{
+    struct Row {
+        std::string name_;
+        std::uint32_t urgentTasks_;
+        std::uint32_t otherTasks_;
+        std::uint32_t priority_;
+        std::uint64_t backlogMs_;
+        bool isAccepted_;
+    };
+    // The job takes 100 ms, and its caller waits 1,460 ms. The targets have been full for 1 s, which counts for about half.
+    auto row = GENERATE(values<Row>({
+        { "nothing ran lately", 0, 0, 2, 1000, true },
+        { "all of what ran was more urgent", 6, 0, 2, 1000, false },
+        { "the wait is short", 6, 0, 2, 300, true },
+        { "a sixth was more urgent", 1, 5, 2, 1000, true },
+        { "the job is as urgent", 6, 0, 0, 1000, true },
+    }));
+    INFO(row.name_);
+    CHECK(isAccepted({ row.backlogMs_, 0, 1500, 100, 1, row.priority_, row.urgentTasks_, row.otherTasks_ }) == row.isAccepted_);
+}
+
+TEST_CASE("The share of more urgent work is that of the capacity in use, and is forgotten")
+{
+    const Time start { std::chrono::hours(1) };
+    UrgentLoad load;
+    CHECK(load.shareBefore("service", 2, start) == 0);
+    load.recordUtilization("service", 0.8, start);
+    load.recordWork("service", 0, 1000, milliseconds(100), start);
+    load.recordWork("service", 1, 500, milliseconds(400), start);
+    load.recordWork("service", 2, 1000, milliseconds(100), start);
+    load.recordWork("other", 0, 1000, milliseconds(9000), start);
+    CHECK(load.shareBefore("service", 0, start) == 0);
+    CHECK(load.shareBefore("service", 1, start) == Approx(0.2));
+    CHECK(load.shareBefore("service", 2, start) == Approx(0.6));
+    CHECK(load.shareBefore("service", 3, start) == Approx(0.8));
+    const Time later = start + milliseconds(6000);
+    load.recordWork("service", 2, 1000, milliseconds(100), later);
+    load.recordUtilization("service", 0.4, later);
+    CHECK(load.shareBefore("service", 2, later) < 0.03);
+    CHECK(load.shareBefore("service", 3, later) == Approx(0.4).epsilon(0.05));
+    CHECK(lengthenWait(milliseconds(100), 0) == milliseconds(100));
+    CHECK(lengthenWait(milliseconds(100), 0.75) == milliseconds(400));
+    CHECK(lengthenWait(milliseconds(100), 1) == milliseconds(1000));
+}
+
+// Guards against: tasks whose data is on a rack with room, or with a short wait, went to other racks, because none of the rack's targets was
+// among those that the entry considered.
+TEST_CASE("A task goes to the rack of its data unless waiting there costs more than running elsewhere")
+{
+    constexpr int targets = 62;
+    constexpr int targetsOnRack = 7;
+    constexpr int jobs = 40;
+    // A task takes 100 ms on the rack, and 200 ms elsewhere; a full target has room after the wait and 10 ms for the overflow.
+    auto [isFull, waitMs, goesToRack] = GENERATE(table<bool, std::uint64_t, bool>({ { false, 0, true }, { true, 20, true }, { true, 60, true }, { true, 150, false } }));
+    INFO("full " << isFull << ", wait " << waitMs);
+    int onRack = 0;
+    for (int i = 0; i < jobs; ++i) {
+        JobEntryFixture entry(targets, 2);
+        for (std::uint64_t agent = 1; agent <= targets; ++agent) {
+            auto report = openReport();
+            bool isOnRack = agent % (targets / targetsOnRack) == 0 && agent / (targets / targetsOnRack) <= targetsOnRack;
+            report.labels_ = { isOnRack ? "rack-hot" : "rack-other" };
+            if (isOnRack && isFull) {
+                report.used_ = { 10'000, 10, 0 };
+                report.backlogMicroseconds_ = waitMs * 1000;
+            }
+            entry.core_.receive(LinkId(agent), report, entry.now_);
+        }
+        // Other choices of the same random source for each job.
+        for (int other = 0; other < i; ++other)
+            entry.submit(makeRequest("other-" + std::to_string(other)), 1000 + static_cast<std::uint64_t>(other));
+        std::size_t first = entry.starts_.size();
+        JobRequest request = makeRequest("job");
+        request.rack_ = "rack-hot";
+        entry.submit(request);
+        REQUIRE(entry.starts_.size() == first + 1);
+        std::uint64_t agent = toUnderlying(entry.starts_[first].first);
+        onRack += agent % (targets / targetsOnRack) == 0 && agent / (targets / targetsOnRack) <= targetsOnRack ? 1 : 0;
+    }
+    CHECK(onRack == (goesToRack ? jobs : 0));
+}
+
+// Guards against: a hot rack's targets were chosen by all jobs that prefer it, however long these had to wait there.
+TEST_CASE("Jobs that prefer one rack use the others once its targets are full")
+{
+    constexpr int jobs = 60;
+    JobEntryFixture entry(8, 2);
+    for (std::uint64_t agent = 1; agent <= 8; ++agent) {
+        auto report = openReport(4000);
+        report.labels_ = { agent <= 2 ? "rack-hot" : "rack-other" };
+        report.typicalMicroseconds_ = 100'000;
+        entry.core_.receive(LinkId(agent), report, entry.now_);
+    }
+    int onRack = 0;
+    for (int i = 0; i < jobs; ++i) {
+        JobRequest request = makeRequest("job-" + std::to_string(i));
+        request.rack_ = "rack-hot";
+        entry.submit(request);
+        onRack += entry.starts_.size() == static_cast<std::size_t>(i) + 1 && toUnderlying(entry.starts_.back().first) <= 2 ? 1 : 0;
+    }
+    REQUIRE(entry.starts_.size() == jobs);
+    // 8 places on the rack and 24 elsewhere. A full rack target costs as much as a remote run once as many wait there as fit.
+    CHECK(onRack >= 8);
+    CHECK(onRack <= 36);
+}
+
+// Guards against: a job whose tasks came back was held until its caller's time was over, or was answered as not run though it had begun.
+TEST_CASE("A job whose returned task can't end in its caller's time is withdrawn then, truthfully")
+{
+    auto [otherEnd, jobOutcome] = GENERATE(table<RunEnd, JobOutcome>({ { RunEnd::NotStarted, JobOutcome::Rejected }, { RunEnd::Stopped, JobOutcome::GivenUp } }));
+    JobEntryFixture entry(1);
+    entry.submit(makeRequest("job", 2));
+    REQUIRE(entry.starts_.size() == 2);
+    entry.advance(milliseconds(200));
+    entry.core_.receive(LinkId(1), fullReport(2'000'000), entry.now_);
+    entry.end(0, RunEnd::NotStarted, Wire::NotStartedReason::NoRoom);
+    CHECK(entry.core_.counters().withdrawn_ == 1);
+    CHECK(entry.lastLine("job_withdrawn").find(R"("held_ms":200.0)") != std::string::npos);
+    CHECK(entry.stops_ == 1);
+    CHECK(entry.answers_.empty());
+    entry.end(1, otherEnd, otherEnd == RunEnd::NotStarted ? Wire::NotStartedReason::Recalled : Wire::NotStartedReason::None);
+    REQUIRE(entry.answers_.size() == 1);
+    CHECK(entry.answers_[0].jobOutcome_ == jobOutcome);
+    CHECK((entry.answers_[0].retryAfter_ > Duration()) == (jobOutcome == JobOutcome::Rejected));
+}
+
 TEST_CASE("More time, less work, a more urgent queue or a shorter backlog never turn an acceptance into a refusal")
 {
     rc::prop("the decision on a job is monotonic in what it depends on, and depends on nothing else", [] {
         auto number = [](std::uint32_t from, std::uint32_t to) { return *rc::gen::inRange<std::uint32_t>(from, to); };
-        const AdmissionState state { number(0, 3000), number(0, 1500), number(100, 5000), number(1, 1500), number(1, 20), number(0, 4) };
+        const AdmissionState state { number(0, 3000), number(0, 1500), number(100, 5000), number(1, 1500), number(1, 20), number(0, 4), number(0, 6), number(0, 6) };
         bool accepted = isAccepted(state);
         RC_ASSERT(isAccepted(state, static_cast<int>(number(0, 20))) == accepted);
         if (!accepted)
@@ -270,12 +426,26 @@
         easier.workMs_ = number(1, state.workMs_ + 1);
         easier.tasks_ = number(1, state.tasks_ + 1);
         easier.priority_ = number(0, state.priority_ + 1);
+        easier.urgentTasks_ = number(0, state.urgentTasks_ + 1);
         easier.backlogMs_ = number(0, static_cast<std::uint32_t>(state.backlogMs_) + 1);
         easier.backlogOfUrgentMs_ = number(0, static_cast<std::uint32_t>(state.backlogOfUrgentMs_) + 1);
         RC_ASSERT(isAccepted(easier));
     });
 }
 
+// Guards against: an urgent job was rejected for lack of room while less urgent ones waited that had not begun.
+TEST_CASE("An urgent job is accepted or rejected as if no less urgent work waited")
+{
+    rc::prop("less urgent work that has not begun takes no room from an urgent job", [] {
+        auto number = [](std::uint32_t from, std::uint32_t to) { return *rc::gen::inRange<std::uint32_t>(from, to); };
+        AdmissionState state { number(0, 3000), number(0, 1500), number(100, 3000), number(1, 1500), number(1, 20), number(0, 2), number(0, 4), number(0, 4), number(0, 30) };
+        AdmissionState alone = state;
+        alone.backlogMs_ = 0;
+        alone.queuedTasks_ = 0;
+        RC_ASSERT(isAccepted(state) == isAccepted(alone));
+    });
+}
+
 TEST_CASE("A target's expected wait grows with the load beyond its capacity")
 {
     struct Row {
