Agents weigh a run's evidence about its target against that of the other runs

A sound target with one or two stragglers looked slow, since the mean of the logarithms of measured over expected time has no bound on the influence of one run. Its runs were stopped and begun again elsewhere, where a task with long work takes as long. The slowdown is now the mean of the latest nine ended runs and the runs in progress, each counted as at most a factor of two from their weighted median. RunStalled says what the task itself takes if its target is sound; the entry then expects that of a new run and moves the run only to save its job.

--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -156,11 +156,17 @@
     Duration remaining = scale(Duration(static_cast<Duration::rep>(stalled.remainingMicroseconds_)), minRemainingFactor);
     bool hasOtherAgent = elsewhere.agent_.isValid() && elsewhere.agent_ != task.agent_;
     Duration timeLeft = job.deadline_ - now;
-    if (remaining > timeLeft && (!hasOtherAgent || shortestFinish(elsewhere.finish_, job) > timeLeft)) {
+    // If the task's own work is long, a new run takes as long on a target of the same speed.
+    const bool isWorkKnown = stalled.workMicroseconds_ > 0;
+    if (isWorkKnown && job.work_.count() > 0)
+        elsewhere.finish_ = scale(elsewhere.finish_, std::max(1.0, static_cast<double>(stalled.workMicroseconds_) / static_cast<double>(job.work_.count())));
+    Duration earliest = isWorkKnown ? elsewhere.finish_ : shortestFinish(elsewhere.finish_, job);
+    if (remaining > timeLeft && (!hasOtherAgent || earliest > timeLeft)) {
         recall(ref.job_, JobFailureReason::Deadline, now);
         return;
     }
-    if (!hasOtherAgent || elsewhere.finish_ + moveTime > remaining)
+    // A run on a sound target is moved only if that saves its job.
+    if (!hasOtherAgent || elsewhere.finish_ + moveTime > remaining || (isWorkKnown && remaining <= timeLeft))
         return;
     log(LogLine("run_moved").text("job", job.request_.id_).number("task", ref.task_).text("agent", findAgent(link)->name_).milliseconds("remaining_ms", remaining).milliseconds("elsewhere_ms", elsewhere.finish_));
     ++counters_.movedRuns_;
--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -40,6 +40,11 @@
     std::uint64_t startsWithoutRoom_ { 0 };
     std::uint64_t startsUnanswered_ { 0 };
     std::uint64_t leaseAnswersMissed_ { 0 };
+    /// Runs that were reported as stalled, and those among them without any progress.
+    std::uint64_t stalled_ { 0 };
+    std::uint64_t stuck_ { 0 };
+    /// Runs far over their expected time on a sound target, which were left to run.
+    std::uint64_t stragglers_ { 0 };
 };
 
 /// The state machine of an agent that runs tasks under leases. Decides which of the requested runs begin on the target and
@@ -126,6 +131,8 @@
     void repeatStops(Time now);
     void dropOverdue(Time now);
     void reportStalls(Time now);
+    void reportStall(Run& run, const Wire::RunStalled& stalled, Time now);
+    void recordStraggler(Run& run, Duration remaining);
     /// Ratio of run time on the target to expected run time, from the runs that ended and those in progress.
     double slowdown(Time now) const;
     void end(RunId id, Wire::RunEnd end, Wire::NotStartedReason reason, Time now);
--- a/Lagoonpick/Run/RunAgentCoreStalls.cpp
+++ b/Lagoonpick/Run/RunAgentCoreStalls.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonpick/Run/RunAgentCore.h"
 
 #include <cmath>
+#include <utility>
 
 // The part of `RunAgentCore` that handles runs with too little progress. It is meant for targets that become slow or hang
 // while their health check succeeds, so that the runs on them would end too late.
@@ -9,8 +10,6 @@
 
 namespace {
 
-/// The slowdown measured on ended runs weighs as much as that of this many runs in progress.
-constexpr double endedRunsWeight = 2;
 /// From this slowdown on, the target counts as the cause of slow runs; below it, the job may be the cause.
 constexpr double slowTargetThreshold = 2;
 /// A new start elsewhere gains nothing if the remaining time is below this multiple of the expected time of a whole run.
@@ -25,43 +24,66 @@
 
 double RunAgentCore::slowdown(Time now) const
 {
-    double logSum = endedRunsWeight * std::log(monitor_.slowdown(now));
-    double weight = endedRunsWeight;
+    std::vector<SlowdownSample> samples = monitor_.endedSamples(now);
     for (const auto& [id, run] : runs_.rows()) {
         auto total = run.phase_ == RunPhase::Running ? run.progress_.total() : std::nullopt;
         if (!total || run.work_.count() <= 0)
             continue;
-        logSum += std::log(static_cast<double>(total->count()) / static_cast<double>(run.work_.count()));
-        weight += 1;
+        samples.push_back({ .logRatio_ = std::log(static_cast<double>(total->count()) / static_cast<double>(run.work_.count())), .weight_ = 1 });
     }
-    return std::exp(logSum / weight);
+    return estimateSlowdown(std::move(samples));
 }
 
 void RunAgentCore::reportStalls(Time now)
 {
-    bool isSlow = slowdown(now) >= slowTargetThreshold;
+    const double slowdown = this->slowdown(now);
+    const bool isSlow = slowdown >= slowTargetThreshold;
     for (auto& [id, run] : runs_.rows()) {
         if (run.phase_ != RunPhase::Running || now < run.nextStallReport_)
             continue;
         bool isStuck = run.progress_.isStuck();
-        auto remaining = run.progress_.remaining(now);
+        // On a sound target the run's own work is long. Its mean progress tells that from a pause of the target.
+        bool isTargetAtFault = isStuck || isSlow;
+        auto remaining = isTargetAtFault ? run.progress_.remaining(now) : run.progress_.steadyRemaining(now);
         if (!remaining)
             continue;
         double left = static_cast<double>(remaining->count());
-        bool isMovable = (isStuck || isSlow) && left >= minMoveRatio * static_cast<double>(run.work_.count());
+        bool isLong = left >= minMoveRatio * static_cast<double>(run.work_.count());
+        if (isLong && !isTargetAtFault)
+            recordStraggler(run, *remaining);
+        bool isMovable = isLong && isTargetAtFault;
         bool missesDeadline = left * certainRemainingShare > static_cast<double>((run.deadline_ - now).count());
         if (!isMovable && !missesDeadline)
             continue;
-        bool isFirst = run.nextStallReport_ == Time();
-        run.nextStallReport_ = now + stallReportInterval;
-        if (isFirst && isStuck)
+        Duration work = isTargetAtFault ? Duration() : scale(*remaining + (now - run.startSentAt_), 1 / slowdown);
+        reportStall(run, { .run_ = run.run_, .remainingMicroseconds_ = static_cast<std::uint64_t>(remaining->count()), .workMicroseconds_ = static_cast<std::uint64_t>(work.count()) }, now);
+    }
+}
+
+void RunAgentCore::reportStall(Run& run, const Wire::RunStalled& stalled, Time now)
+{
+    bool isStuck = run.progress_.isStuck();
+    if (run.nextStallReport_ == Time()) {
+        ++counters_.stalled_;
+        counters_.stuck_ += isStuck ? 1 : 0;
+        if (isStuck)
             monitor_.recordFailure(run.name_.job());
-        if (isFirst)
-            log(LogLine("run_stalled").text("task", run.name_.task_).number("number", run.name_.number_).flag("stuck", isStuck).milliseconds("remaining_ms", *remaining).milliseconds("expected_ms", run.work_));
-        auto session = sessions_.find(run.entry_);
-        if (session != sessions_.end() && session->second.link_)
-            send(*session->second.link_, Wire::RunStalled { run.run_, static_cast<std::uint64_t>(remaining->count()) });
+        Duration remaining(static_cast<Duration::rep>(stalled.remainingMicroseconds_));
+        log(LogLine("run_stalled").text("task", run.name_.task_).number("number", run.name_.number_).flag("stuck", isStuck).flag("target_slow", !isStuck && !stalled.workMicroseconds_).milliseconds("remaining_ms", remaining).milliseconds("expected_ms", run.work_));
     }
+    run.nextStallReport_ = now + stallReportInterval;
+    auto session = sessions_.find(run.entry_);
+    if (session != sessions_.end() && session->second.link_)
+        send(*session->second.link_, stalled);
+}
+
+/// Counts a run that is far over its expected time on a sound target and is left to run.
+void RunAgentCore::recordStraggler(Run& run, Duration remaining)
+{
+    if (std::exchange(run.isStraggler_, true))
+        return;
+    ++counters_.stragglers_;
+    log(LogLine("run_straggles").text("task", run.name_.task_).number("number", run.name_.number_).milliseconds("remaining_ms", remaining).milliseconds("expected_ms", run.work_));
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/RunProgress.h
+++ b/Lagoonpick/Run/RunProgress.h
@@ -25,7 +25,11 @@
     /// Remaining time at the current progress rate; empty while too little has been measured.
     std::optional<Duration> remaining(Time now) const;
 
-    /// True if the recorded share has not risen for three measurement windows or more.
+    /// Remaining time at the mean progress rate since the run began, which short pauses of the target change little; empty while too little of
+    /// the work is done.
+    std::optional<Duration> steadyRemaining(Time now) const;
+
+    /// True if the recorded share has not risen for longer than a slow target explains.
     bool isStuck() const;
 
 private:
@@ -39,10 +43,15 @@
 
     /// The time over which the progress rate is measured.
     Duration window_ {};
+    /// How long the recorded share stands still until the run counts as stuck.
+    Duration stuckTime_ {};
+    Time begunAt_;
+    /// The highest share recorded.
+    std::uint32_t highestPercent_ { 0 };
     Point oldest_;
     Point middle_;
     Point newest_;
-    /// When the recorded share last rose.
+    /// When the recorded share last rose, or the run began.
     Time progressedAt_;
 };
 
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -14,8 +14,10 @@
 constexpr double suspectThreshold = 0.38;
 /// Far enough below `suspectThreshold` that single ends don't toggle the state.
 constexpr double trustedThreshold = 0.15;
-/// Minimum weight of a new sample in the slowdown, reached after several samples: about the last five count.
-constexpr double minSampleWeight = 0.2;
+/// Number of ended runs that count to the slowdown. Their mean is as exact as a moving average over five, of which the newest weigh most.
+constexpr std::size_t maxEndedRuns = 9;
+/// All ended runs weigh as much as this many runs in progress, which show the present state of the target.
+constexpr double endedRunsWeight = 2;
 /// Minimum weight of a new sample in the mean run time. Runs are a mix of short and long ones, so their mean takes many samples.
 constexpr double minTypicalWeight = 0.02;
 /// Tasks vary in themselves, so a single sample counts as at most this many times slower or faster than expected.
@@ -38,12 +40,11 @@
     if (took.count() <= 0 || work.count() <= 0)
         return;
     samples_ += 1;
-    double weight = std::max(minSampleWeight, 1 / (samples_ + 1));
     double ratio = static_cast<double>(took.count()) / static_cast<double>(work.count());
     ratio = std::clamp(ratio, 1 / maxSampleRatio, maxSampleRatio);
-    double former = std::log(slowdown(now));
-    logSlowdown_ = former + weight * (std::log(ratio) - former);
-    sampledAt_ = now;
+    if (endedRuns_.size() == maxEndedRuns)
+        endedRuns_.pop_front();
+    endedRuns_.push_back({ std::log(ratio), now });
     double microseconds = static_cast<double>(took.count());
     typicalMicroseconds_ += std::max(minTypicalWeight, 1 / samples_) * (microseconds - typicalMicroseconds_);
 }
@@ -65,10 +66,14 @@
         isSuspect_ = false;
 }
 
-double TargetMonitor::slowdown(Time now) const
+std::vector<SlowdownSample> TargetMonitor::endedSamples(Time now) const
 {
-    std::chrono::duration<double> age = now - sampledAt_;
-    return std::exp(logSlowdown_ * std::exp(-age / std::chrono::duration<double>(slowdownDecayTime)));
+    std::vector<SlowdownSample> samples(maxEndedRuns, { .logRatio_ = 0, .weight_ = endedRunsWeight / maxEndedRuns });
+    for (std::size_t i = 0; i < endedRuns_.size(); ++i) {
+        std::chrono::duration<double> age = now - endedRuns_[i].endedAt_;
+        samples[i].logRatio_ = endedRuns_[i].logRatio_ * std::exp(-age / std::chrono::duration<double>(slowdownDecayTime));
+    }
+    return samples;
 }
 
 } // namespace Lagoonpick
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Lagoonpick/Run/SlowdownEstimate.h"
 #include "Lagoonpick/Run/TargetCalls.h"
 
+#include <deque>
 #include <string>
 
 namespace Lagoonpick {
@@ -24,18 +26,24 @@
     /// True once the runs of several jobs have failed, until most runs succeed again.
     bool isSuspect() const { return isSuspect_; }
 
-    /// Ratio of measured to expected run time; returns to 1 as the measurements age.
-    double slowdown(Time now) const;
+    /// What the latest ended runs show; returns to a slowdown of 1 as they age, and counts as that while there are few. The weights add up to
+    /// the same sum always.
+    std::vector<SlowdownSample> endedSamples(Time now) const;
     /// Moving average of the run time.
     Duration typicalTime() const { return Duration(static_cast<Duration::rep>(typicalMicroseconds_)); }
 
 private:
     void updateSuspicion();
 
-    /// Natural logarithm of the slowdown at `sampledAt_`.
-    double logSlowdown_ { 0 };
+    struct EndedRun {
+        /// Natural logarithm of the ratio of measured to expected run time.
+        double logRatio_;
+        Time endedAt_;
+    };
+
+    /// The latest ended runs, oldest first.
+    std::deque<EndedRun> endedRuns_;
     double samples_ { 0 };
-    Time sampledAt_;
     double typicalMicroseconds_ { 0 };
     /// Weighted share of failures among the newest ends; consecutive failures of one job count once.
     double failureShare_ { 0 };
--- a/Lagoonpick/Wire/RunMessage.h
+++ b/Lagoonpick/Wire/RunMessage.h
@@ -168,6 +168,9 @@
     std::uint64_t run_ { 0 };
     /// Expected remaining run time at the current progress rate.
     std::uint64_t remainingMicroseconds_ { 0 };
+    /// What the task takes on a target of slowdown 1 by the run's progress, if its own work is the cause; 0 if the run is stuck or its target
+    /// slow, so that a new run elsewhere is expected to take the expected time.
+    std::uint64_t workMicroseconds_ { 0 };
     bool operator==(const RunStalled&) const = default;
 };
 
--- a/Lagoonpick/Wire/RunMessageCodec.cpp
+++ b/Lagoonpick/Wire/RunMessageCodec.cpp
@@ -165,7 +165,7 @@
 
 void describe(auto& archive, MaybeConst<RunStalled> auto& value)
 {
-    archive(counter("run", value.run_, 1), timeSpan("remaining", value.remainingMicroseconds_));
+    archive(counter("run", value.run_, 1), timeSpan("remaining", value.remainingMicroseconds_), timeSpan("work", value.workMicroseconds_));
 }
 
 void describe(auto& archive, MaybeConst<QueuedBacklog> auto& value)
--- a/UnitTests/Runs/JobEntryCoreTest.cpp
+++ b/UnitTests/Runs/JobEntryCoreTest.cpp
@@ -159,6 +159,8 @@
         int remainingMs_;
         bool hasOtherAgent_;
         StallResponse expectedResponse_;
+        /// The task's own work as the run shows it; 0 if the target is the cause.
+        int workMs_ { 0 };
     };
     // A task takes 100 ms and its caller waits 1.5 s.
     auto row = GENERATE(values<Row>({
@@ -168,11 +170,15 @@
         { 100, 5000, true, StallResponse::Moves },
         { 100, 5000, false, StallResponse::GivenUp },
         { 1440, 90, true, StallResponse::GivenUp },
+        { 100, 600, true, StallResponse::Stays, 700 },
+        { 100, 1700, true, StallResponse::Stays, 1800 },
+        { 100, 5000, true, StallResponse::GivenUp, 5100 },
+        { 100, 5000, true, StallResponse::Moves, 1000 },
     }));
     JobEntryFixture entry(row.hasOtherAgent_ ? 2 : 1);
     entry.submit(makeRequest("job"));
     entry.advance(milliseconds(row.passedMs_));
-    entry.core_.receive(entry.starts_[0].first, Wire::RunStalled { entry.starts_[0].second.run_, static_cast<std::uint64_t>(row.remainingMs_) * 1000 }, entry.now_);
+    entry.core_.receive(entry.starts_[0].first, Wire::RunStalled { entry.starts_[0].second.run_, static_cast<std::uint64_t>(row.remainingMs_) * 1000, static_cast<std::uint64_t>(row.workMs_) * 1000 }, entry.now_);
     entry.collect();
     INFO(row.passedMs_ << " " << row.remainingMs_ << " " << row.hasOtherAgent_);
     CHECK(entry.stops_ == (row.expectedResponse_ == StallResponse::Stays ? 0 : 1));
--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -56,6 +56,7 @@
         auto tasks = static_cast<double>(world.tasksStarted());
         messages_ = static_cast<double>(world.taskMessages()) / tasks;
         controlMessages_ = static_cast<double>(world.controlMessages()) / tasks;
+        stopped_ = static_cast<double>(world.runsStopped()) / tasks;
     }
 
     LoadOutcome outcome_;
@@ -63,6 +64,8 @@
     LoadOutcome served_;
     double messages_ { 0 };
     double controlMessages_ { 0 };
+    /// Share of the runs that were stopped.
+    double stopped_ { 0 };
 };
 
 /// A share, averaged over the plays.
@@ -106,7 +109,8 @@
     std::cout << loadCase.load_.name_ << ": in time " << mean(plays, [](const Play& play) { return play.outcome_.inTimeShare(); });
     std::cout << " of " << mean(plays, [](const Play& play) { return play.inTime_.inTimeShare(); });
     std::cout << "; messages per task " << mean(plays, [](const Play& play) { return play.messages_; });
-    std::cout << ", of control " << mean(plays, [](const Play& play) { return play.controlMessages_; }) << "\n";
+    std::cout << ", of control " << mean(plays, [](const Play& play) { return play.controlMessages_; });
+    std::cout << "; runs stopped " << mean(plays, [](const Play& play) { return play.stopped_; }) << "\n";
     for (std::size_t kind = 0; kind < plan.kinds_.size(); ++kind) {
         KindFigures figures = figuresOf(plays, kind);
         auto held = [&](Duration (LoadOutcome::*time)(std::size_t) const) {
@@ -182,6 +186,15 @@
     { { "callers leave early", 0.8, { { Disturbance::LeavingCallers, disturbanceStart, disturbanceEnd, 0.4, 1, {} } } }, belowCapacity },
 };
 
+/// Three tasks in a hundred take seven times as long.
+const LoadCase tail { { .name_ = "run times with a tail", .level_ = 0.7, .phases_ = {}, .tailShare_ = 0.03, .tailFactor_ = 7 }, belowCapacity };
+
+/// Targets differ in speed like those of the two customers.
+const std::vector<LoadCase> uneven {
+    { { .name_ = "targets of slowdown 0.7, 0.7, 1.7", .level_ = 0.7, .phases_ = {}, .slowdowns_ = { 0.7, 0.7, 1.7 } }, belowCapacity },
+    { { .name_ = "targets of slowdown 1.0, 1.0, 1.3", .level_ = 0.7, .phases_ = {}, .slowdowns_ = { 1.0, 1.0, 1.3 } }, belowCapacity },
+};
+
 const LoadCase burstOfAllKinds { { "burst of all kinds", 0.85, { burst } }, overCapacity };
 
 const std::vector<LoadCase> subsets {
@@ -198,6 +211,18 @@
     check(GENERATE(from_range(oneTrouble)), Callers::AllAndQueuesWithSlack);
 }
 
+// Guards against: runs on sound targets were stopped and begun again because they or their neighbours took long.
+TEST_CASE("Under run times with a tail callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfTail]")
+{
+    check(tail, Callers::AllAndQueuesWithSlack);
+}
+
+// Guards against: runs on sound targets of lower speed were stopped and begun again elsewhere, or given up.
+TEST_CASE("On targets of different speed callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfUneven]")
+{
+    check(GENERATE(from_range(uneven)), Callers::AllAndQueuesWithSlack);
+}
+
 TEST_CASE("Where each entry sees a part of the agents, callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfSubsets]")
 {
     check(GENERATE(from_range(subsets)), Callers::AllAndQueuesWithSlack);
--- a/UnitTests/Runs/RunFrameTest.cpp
+++ b/UnitTests/Runs/RunFrameTest.cpp
@@ -175,7 +175,7 @@
     report.queuedBacklogs_ = { { 0, std::numeric_limits<std::int64_t>::min(), top } };
     auto ended = exampleOf<Wire::RunEnded>();
     ended.durationMicroseconds_ = top;
-    const std::vector<Wire::RunMessage> messages { start, report, ended, Wire::RunStalled { 1, top } };
+    const std::vector<Wire::RunMessage> messages { start, report, ended, Wire::RunStalled { 1, top, top } };
     for (const auto& message : messages)
         CHECK(isDecoded(toFrame(message)));
 }
--- a/UnitTests/Runs/RunLoad.cpp
+++ b/UnitTests/Runs/RunLoad.cpp
@@ -83,13 +83,21 @@
     /// Returns a log-normal factor with median 1.
     double randomFactor(double deviation) { return std::exp(std::normal_distribution<double>(0, deviation)(random_)); }
 
+    /// Returns the factor of a task's run time. Draws nothing for a load without a tail, so that its plan doesn't depend on this.
+    double tailFactor()
+    {
+        const RunLoad& load = plan_.load_;
+        bool isLong = load.tailShare_ > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < load.tailShare_;
+        return isLong ? load.tailFactor_ : 1;
+    }
+
     PlannedJob job(std::size_t number, Duration time)
     {
         const JobKind& kind = plan_.kinds_[kind_];
         PlannedJob job { .arrival_ = time, .id_ = kind.name_ + "-" + std::to_string(number), .kind_ = kind_, .work_ = {}, .callerTimeout_ = callerTimeout };
         Duration typicalWork = scale(kind.work_, randomFactor(jobSpread));
         for (std::uint32_t task = 0; task < kind.taskCount_; ++task)
-            job.work_.push_back(scale(typicalWork, randomFactor(taskSpread)));
+            job.work_.push_back(scale(typicalWork, randomFactor(taskSpread) * tailFactor()));
         job.estimate_ = scale(typicalWork, randomFactor(estimateSpread));
         // An answer after the caller's timeout is of no use.
         job.objective_ = std::min<Duration>(scale(*std::max_element(job.work_.begin(), job.work_.end()), slackFactor) + allowance, callerTimeout);
@@ -112,7 +120,8 @@
     for (std::size_t i = 0; i < load.targetCount_; ++i) {
         // Targets differ in size and speed, like hardware of several generations.
         std::uint32_t milliCores = 12'000 + 4'000 * static_cast<std::uint32_t>(i % 3);
-        targets.push_back({ { milliCores, 32'000, 0 }, 0.9 + 0.1 * static_cast<double>(i % 4), {} });
+        double speed = load.slowdowns_.empty() ? 0.9 + 0.1 * static_cast<double>(i % 4) : 1 / load.slowdowns_[i % load.slowdowns_.size()];
+        targets.push_back({ { milliCores, 32'000, 0 }, speed, {} });
     }
     for (std::size_t phase = 0; phase < load.phases_.size(); ++phase) {
         const LoadPhase& loadPhase = load.phases_[phase];
@@ -154,6 +163,7 @@
     double workSecondsPerShare = 0;
     for (const auto& kind : plan.kinds_)
         workSecondsPerShare += kind.share_ * kind.taskCount_ * std::chrono::duration<double>(kind.work_).count() * std::exp(jobSpread * jobSpread / 2);
+    workSecondsPerShare *= 1 + load.tailShare_ * (load.tailFactor_ - 1);
     for (std::size_t kind = 0; kind < plan.kinds_.size(); ++kind) {
         double jobsPerSecond = load.level_ * speedWeightedSlots / workSecondsPerShare * plan.kinds_[kind].share_;
         JobGenerator(plan, kind, jobsPerSecond, random).generate(plan.jobs_);
--- a/UnitTests/Runs/RunLoad.h
+++ b/UnitTests/Runs/RunLoad.h
@@ -63,6 +63,11 @@
     std::size_t entryCount_ { 4 };
     /// Number of entries that each agent attaches to.
     std::uint32_t maxEntries_ { 4 };
+    /// Share of the tasks that take `tailFactor_` times as long as others of their job.
+    double tailShare_ { 0 };
+    double tailFactor_ { 1 };
+    /// Slowdowns of the targets, in turn; empty for the speeds of four hardware generations.
+    std::vector<double> slowdowns_ {};
 };
 
 /// A job of a plan, including what no entry can know in advance.
--- a/UnitTests/Runs/RunMessageExamples.h
+++ b/UnitTests/Runs/RunMessageExamples.h
@@ -18,7 +18,7 @@
         Wire::StopRun { 1 },
         Wire::QueryRun { 2 },
         Wire::RunEnded { 1, 2, Wire::RunEnd::NotStarted, Wire::NotStartedReason::Unknown, 5 },
-        Wire::RunStalled { 4, 700'000 },
+        Wire::RunStalled { 4, 700'000, 900'000 },
         Wire::TargetReport { true, true, "s", { "a", "b" }, { 1, 2, 3 }, { 4, 5, 6 }, { 7, 8, 9 }, 1000, 4, { { 0, -5, 5 }, { 2, 6, 7 } }, 5, 6, 7 },
     };
 }
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -100,6 +100,8 @@
     std::uint64_t jobsDone() const { return jobsDone_; }
     std::uint64_t jobsSent() const { return jobsSent_; }
     std::uint64_t tasksStarted() const { return tasksStarted_; }
+    /// Number of runs that ended because they were stopped.
+    std::uint64_t runsStopped() const { return runsStopped_; }
     /// Number of messages between entries and agents that start, stop or end a run.
     std::uint64_t taskMessages() const { return taskMessages_; }
     /// Number of all other messages between entries and agents.
@@ -249,6 +251,7 @@
     std::uint64_t jobsDone_ { 0 };
     std::uint64_t jobsSent_ { 0 };
     std::uint64_t tasksStarted_ { 0 };
+    std::uint64_t runsStopped_ { 0 };
     std::uint64_t taskMessages_ { 0 };
     std::uint64_t controlMessages_ { 0 };
 };
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -191,6 +191,8 @@
     if (found != runningTarget_.end() && found->second == target)
         runningTarget_.erase(found);
     trace("target-" + std::to_string(target), { LogLine("ended").text("task", name.task_).number("number", name.number_).number("end", toUnderlying(end)) });
+    if (end == RunEnd::Stopped)
+        ++runsStopped_;
     if (end == RunEnd::Done)
         jobs_[name.task_.substr(0, name.task_.find('.'))].doneTasks_.insert(name.task_);
 }
