Backlog: a run that is being stopped holds its room until the stop is done, however long its work is

The room of a straggler already counted as taken for its measured remaining time; a test shows it now. A straggler whose job was recalled counted for all of that time as well, 4.5 s instead of 50 ms in the test, until its end was listed.

--- a/Lagoonpick/Run/Backlog.cpp
+++ b/Lagoonpick/Run/Backlog.cpp
@@ -14,6 +14,19 @@
 /// the expected time.
 constexpr double minRemainingShare = 0.2;
 
+/// A run that is being stopped ends within this time, however much of its work is left: a stop and the next list.
+constexpr Duration stopTime = std::chrono::milliseconds(50);
+
+/// How long a run on the target is expected to hold its room. What it shows of its progress counts more than what was expected, so that
+/// the room of a straggler counts as taken for as long as it lasts.
+Duration remainingOf(const Run& run, double slowdown, Time now)
+{
+    Duration expected = scale(run.work_, slowdown);
+    auto estimate = std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, minRemainingShare));
+    Duration remaining = run.progress_.remaining(now).value_or(estimate);
+    return run.phase_ == RunPhase::Stopping ? std::min<Duration>(remaining, stopTime) : remaining;
+}
+
 /// Number of tasks that fit on the target at once if each needs the mean CPU share of the agent's runs; at least 1.
 std::size_t countPlaces(const RunTable& runs, const Wire::Resources& capacity)
 {
@@ -36,9 +49,7 @@
             waiting.push_back(&run);
             continue;
         }
-        Duration expected = scale(run.work_, slowdown);
-        auto estimate = std::max<Duration>(expected - (now - run.startSentAt_), scale(expected, minRemainingShare));
-        frees.push(run.progress_.remaining(now).value_or(estimate));
+        frees.push(remainingOf(run, slowdown, now));
     }
     std::size_t count = countPlaces(runs, capacity);
     while (frees.size() < count)
--- a/UnitTests/Runs/RunPartsTest.cpp
+++ b/UnitTests/Runs/RunPartsTest.cpp
@@ -105,6 +105,37 @@
     CHECK(Backlog(runs, { 2000, 100, 0 }, 2, now).waitOf({ 0, now }) == milliseconds(row.backlogMs_));
 }
 
+// Guards against: the room of a straggler counted as free soon, since its expected time was over, and that of a recalled one as taken.
+TEST_CASE("A run's room counts as taken for as long as its progress shows, and that of a run being stopped until the stop is done")
+{
+    struct Row {
+        std::string name_;
+        RunPhase phase_;
+        /// Progress in 50 ms, in percent.
+        std::uint32_t rate_;
+        int waitMs_;
+    };
+    // The run is expected to take 100 ms and has lasted 500 ms.
+    auto row = GENERATE(values<Row>({
+        { "straggler of 1 s", RunPhase::Running, 5, 500 },
+        { "straggler of 5 s", RunPhase::Running, 1, 4500 },
+        { "straggler that is being stopped", RunPhase::Stopping, 1, 50 },
+        { "about to end, being stopped", RunPhase::Stopping, 9, 50 },
+    }));
+    INFO(row.name_);
+    Time now { std::chrono::hours(1) };
+    RunTable runs;
+    Run run { .need_ = { 1000, 1, 0 }, .work_ = milliseconds(100), .phase_ = row.phase_, .startSentAt_ = now };
+    run.progress_.begin(run.work_, now);
+    for (std::uint32_t step = 1; step <= 10; ++step) {
+        now += milliseconds(50);
+        run.progress_.record(step * row.rate_, now);
+    }
+    runs.add(run);
+    Duration wait = Backlog(runs, { 1000, 100, 0 }, 1, now).firstWait();
+    CHECK(static_cast<double>(wait.count()) == Approx(row.waitMs_ * 1000.0).epsilon(0.1));
+}
+
 // Guards against: callers were refused for a wait that only less urgent work would have had.
 TEST_CASE("Only what starts before a task counts to the backlog that it finds")
 {
