Agents tell entries at once of a target that hangs

Two stuck runs of different jobs make a target suspect; it took three failures. The report goes out when the suspicion changes instead of at its next regular time, and before the waiting tasks are returned, which did not happen. Runs that began before the latest stuck one no longer count as signs of recovery.

--- a/Lagoonpick/Run/RunAgentCore.h
+++ b/Lagoonpick/Run/RunAgentCore.h
@@ -45,6 +45,8 @@
     std::uint64_t stuck_ { 0 };
     /// Runs far over their expected time on a sound target, which were left to run.
     std::uint64_t stragglers_ { 0 };
+    /// How often the target became suspect.
+    std::uint64_t suspicions_ { 0 };
 };
 
 /// The state machine of an agent that runs tasks under leases. Decides which of the requested runs begin on the target and
@@ -87,6 +89,9 @@
     /// Times from sending a message to an entry until its confirmation was handled.
     const TimeHistogram& confirmationTimes() const { return confirmationTimes_; }
     const TargetState& target() const { return target_; }
+    const TargetMonitor& monitor() const { return monitor_; }
+    /// Ratio of run time on the target to expected run time, from the runs that ended and those in progress.
+    double slowdown(Time now) const;
     const std::map<Incarnation, EntrySession>& sessions() const { return sessions_; }
     std::size_t linkedEntryCount() const { return links_.size(); }
     std::size_t runCount() const { return runs_.rows().size(); }
@@ -132,9 +137,8 @@
     void dropOverdue(Time now);
     void reportStalls(Time now);
     void reportStall(Run& run, const Wire::RunStalled& stalled, Time now);
+    void reportSuspicion(Time now);
     void recordStraggler(Run& run, Duration remaining);
-    /// Ratio of run time on the target to expected run time, from the runs that ended and those in progress.
-    double slowdown(Time now) const;
     void end(RunId id, Wire::RunEnd end, Wire::NotStartedReason reason, Time now);
     void reportEnd(Incarnation entry, EntrySession& session, Wire::RunEnded ended);
     void refuseQueued(Wire::NotStartedReason reason, Time now);
@@ -232,6 +236,8 @@
     std::map<RunName, Time> orphans_;
     /// Listed runs that are not in `runs_`, with the time when they were first listed.
     std::map<RunName, Time> unknownSince_;
+    /// The suspicion that the entries know of.
+    bool wasSuspect_ { false };
     bool isShuttingDown_ { false };
     RunAgentCounters counters_;
     TimeHistogram confirmationTimes_;
--- a/Lagoonpick/Run/RunAgentCoreStalls.cpp
+++ b/Lagoonpick/Run/RunAgentCoreStalls.cpp
@@ -58,6 +58,7 @@
         Duration work = isTargetAtFault ? Duration() : scale(*remaining + (now - run.startSentAt_), 1 / slowdown);
         reportStall(run, { .run_ = run.run_, .remainingMicroseconds_ = static_cast<std::uint64_t>(remaining->count()), .workMicroseconds_ = static_cast<std::uint64_t>(work.count()) }, now);
     }
+    reportSuspicion(now);
 }
 
 void RunAgentCore::reportStall(Run& run, const Wire::RunStalled& stalled, Time now)
@@ -65,18 +66,38 @@
     bool isStuck = run.progress_.isStuck();
     if (run.nextStallReport_ == Time()) {
         ++counters_.stalled_;
-        counters_.stuck_ += isStuck ? 1 : 0;
-        if (isStuck)
-            monitor_.recordFailure(run.name_.job());
         Duration remaining(static_cast<Duration::rep>(stalled.remainingMicroseconds_));
         log(LogLine("run_stalled").text("task", run.name_.task_).number("number", run.name_.number_).flag("stuck", isStuck).flag("target_slow", !isStuck && !stalled.workMicroseconds_).milliseconds("remaining_ms", remaining).milliseconds("expected_ms", run.work_));
     }
+    if (isStuck && !std::exchange(run.isStuck_, true)) {
+        ++counters_.stuck_;
+        monitor_.recordStuck(run.name_.job(), run.startSentAt_);
+    }
     run.nextStallReport_ = now + stallReportInterval;
     auto session = sessions_.find(run.entry_);
     if (session != sessions_.end() && session->second.link_)
         send(*session->second.link_, stalled);
 }
 
+/// Reports a change of suspicion to all entries at once: until they know, they go on choosing the target, which has room because its runs
+/// fail or hang.
+void RunAgentCore::reportSuspicion(Time now)
+{
+    if (std::exchange(wasSuspect_, monitor_.isSuspect()) == monitor_.isSuspect())
+        return;
+    log(LogLine("target_suspicion_changed").text("target", target_.incarnation().id_).flag("suspect", wasSuspect_).number("running", runs_.rows().size() - runs_.queuedCount()).number("queued", runs_.queuedCount()));
+    markReportsDue();
+    for (auto& [incarnation, session] : sessions_)
+        session.nextReport_ = now;
+    // Before the tasks that are returned, so that no entry chooses this target for them again.
+    sendReports(now);
+    if (!wasSuspect_)
+        return;
+    ++counters_.suspicions_;
+    // They wait for room that their entries would not choose any more.
+    refuseQueued(Wire::NotStartedReason::NoRoom, now);
+}
+
 /// Counts a run that is far over its expected time on a sound target and is left to run.
 void RunAgentCore::recordStraggler(Run& run, Duration remaining)
 {
--- a/Lagoonpick/Run/RunTable.h
+++ b/Lagoonpick/Run/RunTable.h
@@ -56,6 +56,8 @@
     RunProgress progress_;
     /// True once the run was found to be far over its expected time on a sound target.
     bool isStraggler_ { false };
+    /// True once the run was found to be stuck.
+    bool isStuck_ { false };
     /// Earliest time of the next stall report to the entry.
     Time nextStallReport_;
     /// The reason to report if the run turns out never to have begun.
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -9,6 +9,9 @@
 
 /// Weight of a single run's end in the share of failures: about the last seven ends count.
 constexpr double failureWeight = 0.15;
+/// Weight of a stuck run. Two of different jobs exceed `suspectThreshold` even if each alone may be at fault: a run that fails ends at once,
+/// while each further stuck one holds room and a caller.
+constexpr double stuckWeight = 0.25;
 /// Exceeded by three consecutive failures of different jobs with no successful run between them: faults of the jobs
 /// themselves do not explain that.
 constexpr double suspectThreshold = 0.38;
@@ -30,8 +33,10 @@
 
 void TargetMonitor::recordDone(Duration took, Duration work, Time now)
 {
-    failureShare_ -= failureWeight * failureShare_;
-    updateSuspicion();
+    if (now - took > stuckRunBegan_) {
+        failureShare_ -= failureWeight * failureShare_;
+        updateSuspicion();
+    }
     recordRunTime(took, work, now);
 }
 
@@ -50,11 +55,22 @@
 }
 
 void TargetMonitor::recordFailure(std::string_view job)
+{
+    recordFault(job, failureWeight);
+}
+
+void TargetMonitor::recordStuck(std::string_view job, Time startedAt)
+{
+    stuckRunBegan_ = std::max(stuckRunBegan_, startedAt);
+    recordFault(job, stuckWeight);
+}
+
+void TargetMonitor::recordFault(std::string_view job, double weight)
 {
     if (job == lastFailedJob_)
         return;
     lastFailedJob_ = job;
-    failureShare_ += failureWeight * (1 - failureShare_);
+    failureShare_ += weight * (1 - failureShare_);
     updateSuspicion();
 }
 
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -19,10 +19,13 @@
     /// Records the time that a run took, or would have taken if it had not been stopped.
     void recordRunTime(Duration took, Duration work, Time now);
 
-    /// Records a run that failed, was rejected or is stuck. Consecutive failures of one job count once: the job may be at
+    /// Records a run that failed or was rejected. Consecutive failures of one job count once: the job may be at
     /// fault.
     void recordFailure(std::string_view job);
 
+    /// Records a run that makes no progress. Two of different jobs make the target suspect: others may never end on it.
+    void recordStuck(std::string_view job, Time startedAt);
+
     /// True once the runs of several jobs have failed, until most runs succeed again.
     bool isSuspect() const { return isSuspect_; }
 
@@ -33,6 +36,7 @@
     Duration typicalTime() const { return Duration(static_cast<Duration::rep>(typicalMicroseconds_)); }
 
 private:
+    void recordFault(std::string_view job, double weight);
     void updateSuspicion();
 
     struct EndedRun {
@@ -49,6 +53,8 @@
     double failureShare_ { 0 };
     bool isSuspect_ { false };
     std::string lastFailedJob_;
+    /// When the latest stuck run began: the success of a run that began before doesn't show that the target has recovered.
+    Time stuckRunBegan_ { Time::min() };
 };
 
 } // namespace Lagoonpick
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -22,6 +22,16 @@
     writeMetric(text, "lagoonpick_starts_unanswered_total", "", static_cast<double>(counters.startsUnanswered_));
     writeMetricHeader(text, "lagoonpick_lease_answers_missed_total", "counter", "Lease renewals without an answer.");
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
+    writeMetricHeader(text, "lagoonpick_stalled_runs_total", "counter", "Runs reported to their entries as too long or without progress.");
+    writeMetric(text, "lagoonpick_stalled_runs_total", "", static_cast<double>(counters.stalled_));
+    writeMetricHeader(text, "lagoonpick_stuck_runs_total", "counter", "Runs without any progress.");
+    writeMetric(text, "lagoonpick_stuck_runs_total", "", static_cast<double>(counters.stuck_));
+    writeMetricHeader(text, "lagoonpick_stragglers_total", "counter", "Runs far over their expected time on a sound target, left to run.");
+    writeMetric(text, "lagoonpick_stragglers_total", "", static_cast<double>(counters.stragglers_));
+    writeMetricHeader(text, "lagoonpick_target_suspicions_total", "counter", "How often the target became suspect.");
+    writeMetric(text, "lagoonpick_target_suspicions_total", "", static_cast<double>(counters.suspicions_));
+    writeMetricHeader(text, "lagoonpick_target_suspect", "gauge", "1 while the target is suspect and gets only probes.");
+    writeMetric(text, "lagoonpick_target_suspect", "", core.monitor().isSuspect() ? 1 : 0);
     writeMetricHeader(text, "lagoonpick_runs", "gauge", "Runs that wait or run.");
     writeMetric(text, "lagoonpick_runs", "", static_cast<double>(core.runCount()));
     writeMetricHeader(text, "lagoonpick_entries", "gauge", "Entries with a link.");
--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -211,6 +211,56 @@
     check(GENERATE(from_range(oneTrouble)), Callers::AllAndQueuesWithSlack);
 }
 
+// Guards against: callers of short tasks lost on the targets that hang, and by the work that returned from there.
+TEST_CASE("While a sixth of the targets hangs callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfHanging]")
+{
+    check({ { "a sixth of 77 targets hanging", 0.7, { { Disturbance::HangingTargets, disturbanceStart, disturbanceEnd, 0.16, 1, {} } }, 77, 14 }, belowCapacity }, Callers::AllAndQueuesWithSlack);
+}
+
+// Guards against: a target that accepts runs which make no progress got work and held callers for long.
+TEST_CASE("A hung target gets only probes after 250 ms, and its runs are stopped within 400 ms of their start", "[LoadReplayOfHanging]")
+{
+    const Duration maxBeforeSuspicion = std::chrono::milliseconds(250);
+    const Duration maxHeld = std::chrono::milliseconds(400);
+    // Each of the four entries probes a suspect target every 500 ms.
+    const std::size_t maxProbes = static_cast<std::size_t>((disturbanceEnd - disturbanceStart) / std::chrono::milliseconds(500) + 1) * 4;
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    const LoadPlan plan = planLoad({ "hanging targets", 0.7, { { Disturbance::HangingTargets, disturbanceStart, disturbanceEnd, 0.1, 1, {} } } }, seed);
+    RunWorld world(plan, seed);
+    struct Hung {
+        std::optional<Duration> first_;
+        std::size_t late_ { 0 };
+        std::size_t runs_ { 0 };
+        std::map<RunName, Duration> starts_;
+        std::vector<Duration> held_;
+    };
+    std::map<std::size_t, Hung> targets;
+    world.observeRuns([&](std::size_t target, const RunName& name, Duration time, std::optional<Wire::RunEnd> end) {
+        if (plan.targets_[target].phases_.empty())
+            return;
+        Hung& hung = targets[target];
+        auto start = hung.starts_.find(name);
+        if (end && start != hung.starts_.end())
+            hung.held_.push_back(time - start->second);
+        if (end || time < disturbanceStart || time >= disturbanceEnd)
+            return;
+        hung.first_ = hung.first_.value_or(time);
+        hung.starts_[name] = time;
+        ++hung.runs_;
+        hung.late_ += time - *hung.first_ > maxBeforeSuspicion ? 1 : 0;
+    });
+    world.play();
+    CHECK_FALSE(targets.empty());
+    for (auto& [target, hung] : targets) {
+        INFO("seed " << seed << ", target " << target);
+        Duration longest = *std::max_element(hung.held_.begin(), hung.held_.end());
+        if (std::getenv("LOAD_REPLAY_PRINT"))
+            std::cout << "hung target " << target << ": runs " << hung.runs_ << ", after suspicion " << hung.late_ << ", held at most " << longest.count() / 1000 << " ms\n";
+        CHECK(hung.late_ <= maxProbes);
+        CHECK(longest <= maxHeld);
+    }
+}
+
 // Guards against: runs on sound targets were stopped and begun again because they or their neighbours took long.
 TEST_CASE("Under run times with a tail callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfTail]")
 {
--- a/UnitTests/Runs/RunAgentCoreStallsTest.cpp
+++ b/UnitTests/Runs/RunAgentCoreStallsTest.cpp
@@ -34,11 +34,17 @@
         list(milliseconds(1), {});
     }
 
-    /// Begins runs that progress at these rates and delivers lists.
-    void progress(const std::vector<std::uint32_t>& rates, Duration callerTimeout)
+    void beginRuns(std::size_t count, Duration callerTimeout)
     {
-        for (std::size_t i = 0; i < rates.size(); ++i)
+        for (std::size_t i = 0; i < count; ++i)
             numbers_.push_back(begin(callerTimeout));
+    }
+
+    /// Begins runs, unless that was done before, has them progress at these rates and delivers lists.
+    void progress(const std::vector<std::uint32_t>& rates, Duration callerTimeout)
+    {
+        if (numbers_.empty())
+            beginRuns(rates.size(), callerTimeout);
         for (std::uint32_t step = 1; step <= listCount; ++step) {
             std::vector<std::pair<std::uint64_t, std::uint32_t>> rows;
             for (std::size_t i = 0; i < rates.size(); ++i)
@@ -123,6 +129,31 @@
     CHECK(agent.reported() == row.reported_);
 }
 
+// Guards against: entries went on choosing a target that hangs until its next regular report, and tasks waited for room there.
+TEST_CASE("Once two runs of different jobs are stuck, the entry is told at once that the target is suspect and waiting tasks are returned")
+{
+    auto [rates, isSuspect] = GENERATE(table<std::vector<std::uint32_t>, bool>({ { { none, sound, sound }, false }, { { none, none, sound }, true } }));
+    Stalls agent;
+    agent.sendHeartbeatWithCapacity(3000);
+    agent.beginRuns(3, std::chrono::seconds(10));
+    agent.startRun(100, std::chrono::seconds(5), 1000, std::chrono::seconds(5), { work });
+    agent.progress(rates, std::chrono::seconds(10));
+    CHECK(agent.core_.monitor().isSuspect() == isSuspect);
+    CHECK(agent.core_.counters().suspicions_ == (isSuspect ? 1 : 0));
+    auto find = [&](auto matches) { return std::find_if(agent.messages_.begin(), agent.messages_.end(), matches); };
+    auto report = find([](const auto& item) {
+        const auto* alternative = std::get_if<Wire::TargetReport>(&item.message_);
+        return alternative && alternative->isSuspect_;
+    });
+    auto returned = find([](const auto& item) {
+        const auto* ended = std::get_if<Wire::RunEnded>(&item.message_);
+        return ended && ended->run_ == 100 && ended->reason_ == Wire::NotStartedReason::NoRoom;
+    });
+    CHECK((report != agent.messages_.end()) == isSuspect);
+    CHECK((returned != agent.messages_.end()) == isSuspect);
+    CHECK((!isSuspect || report < returned));
+}
+
 // Guards against: a run whose own work is long was moved when its caller's time ran short, and began at zero elsewhere.
 TEST_CASE("A run that is too long for its caller is reported with its own work unless its target is the cause")
 {
--- a/UnitTests/Runs/RunPartsTest.cpp
+++ b/UnitTests/Runs/RunPartsTest.cpp
@@ -56,6 +56,29 @@
     CHECK_FALSE(monitor.isSuspect());
 }
 
+// Guards against: a target that hangs got runs until several of them had been given up.
+TEST_CASE("Two stuck runs of different jobs make a target suspect")
+{
+    auto [jobs, isSuspect] = GENERATE(table<std::vector<std::string>, bool>({ { { "a" }, false }, { { "a", "a" }, false }, { { "a", "b" }, true } }));
+    TargetMonitor monitor;
+    for (const auto& job : jobs)
+        monitor.recordStuck(job, Time(std::chrono::seconds(1)));
+    CHECK(monitor.isSuspect() == isSuspect);
+}
+
+// Guards against: the ends of runs from before a target hung made it trusted again, so that it got another wave of runs.
+TEST_CASE("Only runs that began after the latest stuck one show that a target has recovered")
+{
+    auto [tookMs, isSuspect] = GENERATE(table<int, bool>({ { 900, true }, { 100, false } }));
+    TargetMonitor monitor;
+    const Time stuckBegan { std::chrono::seconds(1) };
+    monitor.recordStuck("a", stuckBegan);
+    monitor.recordStuck("b", stuckBegan);
+    for (int i = 0; i < 10; ++i)
+        monitor.recordDone(milliseconds(tookMs), milliseconds(tookMs), stuckBegan + milliseconds(500));
+    CHECK(monitor.isSuspect() == isSuspect);
+}
+
 TEST_CASE("A run's total time is estimated from the progress rate of its most recent part once enough has been measured")
 {
     struct Row {
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -95,6 +95,10 @@
     /// Plays the whole plan that the world was constructed with.
     LoadOutcome play();
 
+    /// Called when a run starts (`end` empty) or ends on a target, with the time since the load started.
+    using RunObserver = std::function<void(std::size_t target, const RunName& name, Duration time, std::optional<Wire::RunEnd> end)>;
+    void observeRuns(RunObserver observer) { runObserver_ = std::move(observer); }
+
     /// Violated invariants, one line each.
     const std::vector<std::string>& violations() const { return violations_; }
     std::uint64_t jobsDone() const { return jobsDone_; }
@@ -252,6 +256,7 @@
     std::uint64_t jobsSent_ { 0 };
     std::uint64_t tasksStarted_ { 0 };
     std::uint64_t runsStopped_ { 0 };
+    RunObserver runObserver_ { [](std::size_t, const RunName&, Duration, std::optional<Wire::RunEnd>) {} };
     std::uint64_t taskMessages_ { 0 };
     std::uint64_t controlMessages_ { 0 };
 };
--- a/UnitTests/Runs/RunWorldTargets.cpp
+++ b/UnitTests/Runs/RunWorldTargets.cpp
@@ -178,6 +178,7 @@
     JobRecord& record = jobs_[job];
     record.hasStarted_ = true;
     ++tasksStarted_;
+    runObserver_(target, name, now_ - planStartedAt_, std::nullopt);
     const auto& labels = agents_[target]->target_->labels();
     if (!record.requiredLabel_.empty() && std::find(labels.begin(), labels.end(), record.requiredLabel_) == labels.end())
         reportViolation("task started without the label that it requires: " + name.task_);
@@ -191,6 +192,7 @@
     if (found != runningTarget_.end() && found->second == target)
         runningTarget_.erase(found);
     trace("target-" + std::to_string(target), { LogLine("ended").text("task", name.task_).number("number", name.number_).number("end", toUnderlying(end)) });
+    runObserver_(target, name, now_ - planStartedAt_, end);
     if (end == RunEnd::Stopped)
         ++runsStopped_;
     if (end == RunEnd::Done)
