--- a/UnitTests/Runs/LoadReplayTest.cpp
+++ b/UnitTests/Runs/LoadReplayTest.cpp
@@ -56,6 +56,7 @@
         auto tasks = static_cast<double>(world.tasksStarted());
         messages_ = static_cast<double>(world.taskMessages()) / tasks;
         controlMessages_ = static_cast<double>(world.controlMessages()) / tasks;
+        stopped_ = static_cast<double>(world.runsStopped()) / tasks;
     }
 
     LoadOutcome outcome_;
@@ -63,6 +64,8 @@
     LoadOutcome served_;
     double messages_ { 0 };
     double controlMessages_ { 0 };
+    /// Share of the runs that were stopped.
+    double stopped_ { 0 };
 };
 
 /// A share, averaged over the plays.
@@ -106,7 +109,8 @@
     std::cout << loadCase.load_.name_ << ": in time " << mean(plays, [](const Play& play) { return play.outcome_.inTimeShare(); });
     std::cout << " of " << mean(plays, [](const Play& play) { return play.inTime_.inTimeShare(); });
     std::cout << "; messages per task " << mean(plays, [](const Play& play) { return play.messages_; });
-    std::cout << ", of control " << mean(plays, [](const Play& play) { return play.controlMessages_; }) << "\n";
+    std::cout << ", of control " << mean(plays, [](const Play& play) { return play.controlMessages_; });
+    std::cout << "; runs stopped " << mean(plays, [](const Play& play) { return play.stopped_; }) << "\n";
     for (std::size_t kind = 0; kind < plan.kinds_.size(); ++kind) {
         KindFigures figures = figuresOf(plays, kind);
         auto held = [&](Duration (LoadOutcome::*time)(std::size_t) const) {
@@ -182,6 +186,15 @@
     { { "callers leave early", 0.8, { { Disturbance::LeavingCallers, disturbanceStart, disturbanceEnd, 0.4, 1, {} } } }, belowCapacity },
 };
 
+/// Three tasks in a hundred take seven times as long.
+const LoadCase tail { { .name_ = "run times with a tail", .level_ = 0.7, .phases_ = {}, .tailShare_ = 0.03, .tailFactor_ = 7 }, belowCapacity };
+
+/// Targets differ in speed like those of the two customers.
+const std::vector<LoadCase> uneven {
+    { { .name_ = "targets of slowdown 0.7, 0.7, 1.7", .level_ = 0.7, .phases_ = {}, .slowdowns_ = { 0.7, 0.7, 1.7 } }, belowCapacity },
+    { { .name_ = "targets of slowdown 1.0, 1.0, 1.3", .level_ = 0.7, .phases_ = {}, .slowdowns_ = { 1.0, 1.0, 1.3 } }, belowCapacity },
+};
+
 const LoadCase burstOfAllKinds { { "burst of all kinds", 0.85, { burst } }, overCapacity };
 
 const std::vector<LoadCase> subsets {
@@ -198,6 +211,68 @@
     check(GENERATE(from_range(oneTrouble)), Callers::AllAndQueuesWithSlack);
 }
 
+// Guards against: callers of short tasks lost on the targets that hang, and by the work that returned from there.
+TEST_CASE("While a sixth of the targets hangs callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfHanging]")
+{
+    check({ { "a sixth of 77 targets hanging", 0.7, { { Disturbance::HangingTargets, disturbanceStart, disturbanceEnd, 0.16, 1, {} } }, 77, 14 }, belowCapacity }, Callers::AllAndQueuesWithSlack);
+}
+
+// Guards against: a target that accepts runs which make no progress got work and held callers for long.
+TEST_CASE("A hung target gets only probes after 250 ms, and its runs are stopped within 400 ms of their start", "[LoadReplayOfHanging]")
+{
+    const Duration maxBeforeSuspicion = std::chrono::milliseconds(250);
+    const Duration maxHeld = std::chrono::milliseconds(400);
+    // Each of the four entries probes a suspect target every 500 ms.
+    const std::size_t maxProbes = static_cast<std::size_t>((disturbanceEnd - disturbanceStart) / std::chrono::milliseconds(500) + 1) * 4;
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    const LoadPlan plan = planLoad({ "hanging targets", 0.7, { { Disturbance::HangingTargets, disturbanceStart, disturbanceEnd, 0.1, 1, {} } } }, seed);
+    RunWorld world(plan, seed);
+    struct Hung {
+        std::optional<Duration> first_;
+        std::size_t late_ { 0 };
+        std::size_t runs_ { 0 };
+        std::map<RunName, Duration> starts_;
+        std::vector<Duration> held_;
+    };
+    std::map<std::size_t, Hung> targets;
+    world.observeRuns([&](std::size_t target, const RunName& name, Duration time, std::optional<Wire::RunEnd> end) {
+        if (plan.targets_[target].phases_.empty())
+            return;
+        Hung& hung = targets[target];
+        auto start = hung.starts_.find(name);
+        if (end && start != hung.starts_.end())
+            hung.held_.push_back(time - start->second);
+        if (end || time < disturbanceStart || time >= disturbanceEnd)
+            return;
+        hung.first_ = hung.first_.value_or(time);
+        hung.starts_[name] = time;
+        ++hung.runs_;
+        hung.late_ += time - *hung.first_ > maxBeforeSuspicion ? 1 : 0;
+    });
+    world.play();
+    CHECK_FALSE(targets.empty());
+    for (auto& [target, hung] : targets) {
+        INFO("seed " << seed << ", target " << target);
+        Duration longest = *std::max_element(hung.held_.begin(), hung.held_.end());
+        if (std::getenv("LOAD_REPLAY_PRINT"))
+            std::cout << "hung target " << target << ": runs " << hung.runs_ << ", after suspicion " << hung.late_ << ", held at most " << longest.count() / 1000 << " ms\n";
+        CHECK(hung.late_ <= maxProbes);
+        CHECK(longest <= maxHeld);
+    }
+}
+
+// Guards against: runs on sound targets were stopped and begun again because they or their neighbours took long.
+TEST_CASE("Under run times with a tail callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfTail]")
+{
+    check(tail, Callers::AllAndQueuesWithSlack);
+}
+
+// Guards against: runs on sound targets of lower speed were stopped and begun again elsewhere, or given up.
+TEST_CASE("On targets of different speed callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfUneven]")
+{
+    check(GENERATE(from_range(uneven)), Callers::AllAndQueuesWithSlack);
+}
+
 TEST_CASE("Where each entry sees a part of the agents, callers get about what a clairvoyant scheduler could give them", "[LoadReplayOfSubsets]")
 {
     check(GENERATE(from_range(subsets)), Callers::AllAndQueuesWithSlack);
--- a/UnitTests/Runs/RunWorld.h
+++ b/UnitTests/Runs/RunWorld.h
@@ -103,6 +103,10 @@
     /// Plays the whole plan that the world was constructed with.
     LoadOutcome play();
 
+    /// Called when a run starts (`end` empty) or ends on a target, with the time since the load started.
+    using RunObserver = std::function<void(std::size_t target, const RunName& name, Duration time, std::optional<Wire::RunEnd> end)>;
+    void observeRuns(RunObserver observer) { runObserver_ = std::move(observer); }
+
     /// Violated invariants, one line each.
     const std::vector<std::string>& violations() const { return violations_; }
     std::uint64_t jobsDone() const { return jobsDone_; }
@@ -110,6 +114,8 @@
     std::uint64_t tasksStarted() const { return tasksStarted_; }
     /// Number of starts in zones whose evacuation was withdrawn before.
     std::uint64_t startsAfterWithdrawal() const { return startsAfterWithdrawal_; }
+    /// Number of runs that ended because they were stopped.
+    std::uint64_t runsStopped() const { return runsStopped_; }
     /// Number of messages between entries and agents that start, stop or end a run.
     std::uint64_t taskMessages() const { return taskMessages_; }
     /// Number of all other messages between entries and agents.
@@ -279,6 +285,8 @@
     std::uint64_t jobsDone_ { 0 };
     std::uint64_t jobsSent_ { 0 };
     std::uint64_t tasksStarted_ { 0 };
+    std::uint64_t runsStopped_ { 0 };
+    RunObserver runObserver_ { [](std::size_t, const RunName&, Duration, std::optional<Wire::RunEnd>) {} };
     std::uint64_t taskMessages_ { 0 };
     std::uint64_t controlMessages_ { 0 };
 };
