--- a/ContractTests/HttpServerTest.cpp
+++ b/ContractTests/HttpServerTest.cpp
@@ -108,7 +108,7 @@
 /// A server on whose thread its clients run too.
 struct ServerFixture {
     explicit ServerFixture(HttpLimits limits)
-        : server_(context_, std::move(limits), [this](HttpRequest received, HttpServer::Respond respond) {
+        : server_(context_, std::move(limits), [this](const HttpRequest& received, HttpServer::Respond respond) {
             paths_.push_back(received.path_);
             bodies_.push_back(received.body_);
             if (isHeld_)
