HTTP server: a connection that the server ends is closed within 500 ms, and a refusal never blocks

Found by a review of the limits on peers, by reading: - A refusal dropped further input by synchronous reads, which block the process if the socket is not in non-blocking mode yet. - A peer that never closed its connection after a response with Connection: close kept the socket open outside of all limits. Both are served by one step now: after shutdown of its side the server drops input until the peer closes or 500 ms pass. - When memory ran short, an ordinary caller on a connection that had been idle for long was chosen before a peer that filled its memory: what counts is since when bytes are held. A connection that holds no more than before is not refused. - A job entry answered 503, which is final for a job, before it had looked at the id: it closes the connection instead. - Links: pings, each of which queued an answer without a limit, are not answered. - A request that is complete when its time is over is handled. Pipelined bytes are freed once they are read.

--- a/JobEntry/JobEntrySettings.cpp
+++ b/JobEntry/JobEntrySettings.cpp
@@ -1,6 +1,7 @@
 #include "JobEntry/JobEntrySettings.h"
 
 #include "Lagoonpick/Configuration/LeaseTimingReader.h"
+#include "platform/JobCodec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -39,7 +40,8 @@
     limits.maxBodyBytes_ = 262'144;
     limits.maxHeldBytes_ = std::max(peerBytes, limits.maxBodyBytes_);
     limits.readTimeout_ = seconds(15);
-    limits.callerTimeField_ = "Lagoonpick-Deadline-Ms";
+    limits.answersWhenFull_ = false;
+    limits.callerTimeField_ = UsersPlatform::callerTimeoutField;
     settings.linkMemoryBytes_ = peerBytes;
     settings.storeMemoryBytes_ = megabytes * bytesPerMegabyte / storeMemoryDivisor;
 }
@@ -61,7 +63,7 @@
     settings.seeds_ = splitList(reader.text("entry", "seeds", "-"));
     settings.storeAddress_ = reader.address("store", "address");
     // All answers must be sent before the process is killed at the end of the grace period. Shutdown ends at the latest after
-    // 13/15 of it (5.2 s of 6 s), and jobs are accepted at most during its first 5/12 (2.5 s of 6 s).
+    // 13/15 of it (5.2 s of 6 s), and the entry listens at least during its first 5/12 (2.5 s of 6 s).
     auto gracePeriod = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(reader.decimal("times", "shutdown_grace_s", 6, 0.1, 600)));
     job.shutdownTimeout_ = std::min<Duration>(job.shutdownTimeout_, gracePeriod * 13 / 15);
     job.minListenTime_ = std::min<Duration>(job.minListenTime_, gracePeriod * 5 / 12);
--- a/Lagoonpick/Transport/FrameHub.cpp
+++ b/Lagoonpick/Transport/FrameHub.cpp
@@ -58,6 +58,8 @@
     endpoint.set_max_message_size(limits.maxFrameBytes_);
     // A handshake has no body; the library bounds its header by 16,000 bytes.
     endpoint.set_max_http_body_size(0);
+    // The library would queue an answer for each, without a limit for a peer that doesn't read. This project sends none.
+    endpoint.set_ping_handler([](const connection_hdl&, const std::string&) { return false; });
     auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.handshakeTimeout_).count();
     endpoint.set_open_handshake_timeout(timeout);
     endpoint.set_close_handshake_timeout(timeout);
--- a/Lagoonpick/Transport/HttpServer.cpp
+++ b/Lagoonpick/Transport/HttpServer.cpp
@@ -31,8 +31,9 @@
 constexpr std::size_t sharedBufferBytes = 16'384;
 /// Pieces that are read from one connection before others have their turn.
 constexpr int maxPiecesAtOnce = 8;
-/// Pieces of a refused request that are read and dropped, so that the peer receives the refusal rather than a reset.
-constexpr int maxDroppedPieces = 64;
+/// How long a connection that the server ends waits for its peer to close it, so that the peer receives the last response rather than a
+/// reset: many round trips.
+constexpr std::chrono::milliseconds lingerTime { 500 };
 
 HttpRequest toRequest(RequestReader& reader)
 {
@@ -177,6 +178,8 @@
         std::optional<std::chrono::steady_clock::time_point> waitingForPeerSince_ { std::chrono::steady_clock::now() };
         /// Bytes that are held for the connection.
         std::uint64_t heldBytes_ { 0 };
+        /// Since when any bytes are held.
+        std::chrono::steady_clock::time_point heldSince_;
     };
 
     State(asio::io_context& context, HttpLimits limits, Handler handler)
@@ -222,12 +225,27 @@
             isKeptOpen = co_await serveOne(session);
             release(*session);
         }
-        beast::error_code ignored;
-        session->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        co_await linger(*session);
         evictedCount_ -= session->isEvicted_ ? 1 : 0;
         sessions_.erase(position);
     }
 
+    /// Closes a connection from this end, and drops what the peer still sends until it closes its own or the time is over.
+    asio::awaitable<void> linger(Session& session)
+    {
+        session.waitingForPeerSince_ = std::chrono::steady_clock::now();
+        beast::error_code ignored;
+        session.stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        // Closes the socket.
+        session.stream_.expires_after(lingerTime);
+        bool isOpen = !session.isEvicted_ && !isStopping_;
+        while (isOpen) {
+            auto [error, size] = co_await session.stream_.async_read_some(asio::buffer(session.input_), useTuple);
+            isOpen = !error;
+        }
+        session.stream_.close();
+    }
+
     /// Closes the connection that has held most for longest while it waited for its peer; for memory, among those that hold any.
     /// Returns false if there is none, or if it is `requester` itself, which is left open so that it can be answered.
     bool evict(PeerFault fault, const Session* requester = nullptr)
@@ -236,10 +254,12 @@
         double highestCost = -1;
         auto now = std::chrono::steady_clock::now();
         for (const auto& session : sessions_) {
-            if (!session->waitingForPeerSince_ || session->isEvicted_ || (fault == PeerFault::MemoryLimit && !session->heldBytes_))
+            bool isForMemory = fault == PeerFault::MemoryLimit;
+            if (!session->waitingForPeerSince_ || session->isEvicted_ || (isForMemory && !session->heldBytes_))
                 continue;
-            std::chrono::duration<double> age = now - *session->waitingForPeerSince_;
-            double cost = (idleConnectionBytes + static_cast<double>(session->heldBytes_)) * age.count();
+            // A connection that was idle for long has not held its new request for long.
+            std::chrono::duration<double> age = now - (isForMemory ? session->heldSince_ : *session->waitingForPeerSince_);
+            double cost = ((isForMemory ? 0 : idleConnectionBytes) + static_cast<double>(session->heldBytes_)) * age.count();
             if (cost > highestCost) {
                 highestCost = cost;
                 chosen = session;
@@ -260,9 +280,13 @@
     /// connection: it is the one that would have to be closed, or requests that are being handled hold the rest.
     bool hold(Session& session, std::uint64_t bytes)
     {
+        // A connection that takes no more than before has no part in a shortage.
+        const bool hasGrown = bytes > session.heldBytes_;
+        if (!session.heldBytes_)
+            session.heldSince_ = std::chrono::steady_clock::now();
         heldBytes_ += bytes - session.heldBytes_;
         session.heldBytes_ = bytes;
-        while (heldBytes_ > limits_.maxHeldBytes_) {
+        while (hasGrown && heldBytes_ > limits_.maxHeldBytes_) {
             if (!evict(PeerFault::MemoryLimit, &session))
                 return false;
         }
@@ -310,19 +334,19 @@
         session.waitingForPeerSince_ = std::chrono::steady_clock::now();
         auto deadline = *session.waitingForPeerSince_ + limits_.readTimeout_;
         limitReading(shared, deadline);
-        std::string pipelined = std::exchange(session.pipelined_, {});
-        bool isHeld = put(session, reader, pipelined);
+        bool isHeld = putPipelined(session, reader);
         std::optional<std::chrono::steady_clock::time_point> begunAt;
         bool isCallerTimeKnown = false;
         while (true) {
             if (session.isEvicted_)
                 co_return ReadEnd::Closed;
-            fault = !isHeld ? PeerFault::MemoryLimit : session.isTooSlow_ && reader.hasBegun() ? PeerFault::TooSlow
-                                                                                               : reader.fault();
+            fault = isHeld ? reader.fault() : PeerFault::MemoryLimit;
+            if (fault == PeerFault::None && reader.isComplete())
+                co_return ReadEnd::Complete;
+            if (fault == PeerFault::None && session.isTooSlow_ && reader.hasBegun())
+                fault = PeerFault::TooSlow;
             if (fault != PeerFault::None)
                 co_return ReadEnd::Faulty;
-            if (reader.isComplete())
-                co_return ReadEnd::Complete;
             if (session.isTooSlow_ || isStopping_)
                 co_return ReadEnd::Closed;
             if (reader.hasBegun() && !begunAt)
@@ -372,6 +396,13 @@
         return hold(session, reader.heldBytes() + allocatedBytes(session.pipelined_));
     }
 
+    /// Reads what was received behind the last request.
+    bool putPipelined(Session& session, RequestReader& reader)
+    {
+        const std::string pipelined = std::exchange(session.pipelined_, {});
+        return put(session, reader, pipelined);
+    }
+
     /// Reads what has already arrived, without waiting.
     bool readAvailable(Session& session, RequestReader& reader)
     {
@@ -391,23 +422,21 @@
     {
         release(session);
         faults_.add(fault, addressOf(session.stream_.socket()));
-        co_await write(session, makeRefusal(fault), false);
-        beast::error_code error;
-        session.stream_.socket().shutdown(tcp::socket::shutdown_send, error);
-        for (int i = 0; i < maxDroppedPieces && !error; ++i)
-            session.stream_.socket().read_some(asio::buffer(sharedBuffer_), error);
+        if (fault != PeerFault::MemoryLimit || limits_.answersWhenFull_)
+            co_await write(session, makeRefusal(fault), false);
     }
 
     /// Waits for the connection to become readable while its request is handled: end of stream or an error means that the caller
     /// has disconnected.
     void watchCallerConnection(const std::shared_ptr<Session>& session, const std::weak_ptr<CallerConnection>& callerConnection)
     {
-        session->stream_.socket().async_wait(tcp::socket::wait_read, [session, callerConnection](const beast::error_code& waitError) {
-            auto& socket = session->stream_.socket();
+        std::weak_ptr<Session> weak = session;
+        session->stream_.socket().async_wait(tcp::socket::wait_read, [weak, callerConnection](const beast::error_code& waitError) {
+            auto watched = weak.lock();
             auto caller = callerConnection.lock();
-            if (waitError == asio::error::operation_aborted || !caller || !caller->onDisconnected_)
+            if (waitError == asio::error::operation_aborted || !watched || !caller || !caller->onDisconnected_)
                 return;
-            if (isClosedByPeer(socket))
+            if (isClosedByPeer(watched->stream_.socket()))
                 std::exchange(caller->onDisconnected_, {})();
         });
     }
--- a/Lagoonpick/Transport/HttpServer.h
+++ b/Lagoonpick/Transport/HttpServer.h
@@ -15,6 +15,9 @@
     /// What all connections together may have the server hold: of requests that are being received or handled, of bytes that follow a
     /// request, and of responses that are being written.
     std::uint64_t maxHeldBytes_ { 268'435'456 };
+    /// Whether a request that there is no room for is answered with 503. If a repeated request may be for a job that has begun, 503 would not
+    /// be true of that job, and the connection is closed without an answer.
+    bool answersWhenFull_ { true };
     /// Maximum time from the opening of a connection, or from the last response, until the next request has arrived completely.
     Duration readTimeout_ { std::chrono::seconds(60) };
     /// Header field in which a caller says for how many milliseconds it waits; a request that has not arrived completely by then is
