--- a/ContractTests/HttpServerTest.cpp
+++ b/ContractTests/HttpServerTest.cpp
@@ -325,6 +325,47 @@
     CHECK(fixture.server_.heldBytes() == 0);
 }
 
+// Guards against: a refusal that waited for more input of its client and so blocked the process; and a 503, which is final for a job, before
+// the server knew whether the job had begun.
+TEST_CASE("Where a refusal might not be true, a request for which there is no room gets no answer, and others go on", "[HttpServer]")
+{
+    auto limits = smallLimits();
+    limits.answersWhenFull_ = GENERATE(true, false);
+    {
+        ServerFixture probe(limits);
+        probe.isHeld_ = true;
+        auto socket = probe.send(postOf(45'000, 45'000));
+        // Room for the request that is being handled, and for less than a header beside it.
+        limits.maxHeldBytes_ = probe.server_.heldBytes() + 50;
+        probe.held_.front()({ .body_ = "{}", .stream_ = {} });
+    }
+    ServerFixture fixture(limits);
+    fixture.isHeld_ = true;
+    auto running = fixture.send(postOf(45'000, 45'000));
+    REQUIRE(fixture.held_.size() == 1);
+    auto refused = fixture.send(postOf(48'000, 900));
+    auto received = fixture.receive(refused, milliseconds(300));
+    CHECK(statusLine(received) == (limits.answersWhenFull_ ? "HTTP/1.1 503" : ""));
+    fixture.held_.front()({ .body_ = "{}", .stream_ = {} });
+    CHECK(statusLine(fixture.receive(running, milliseconds(300))) == "HTTP/1.1 200");
+}
+
+// Guards against: sockets that stayed open, outside of all limits, until their clients closed them.
+TEST_CASE("A connection that the server ends is closed although its client keeps it open", "[HttpServer]")
+{
+    ServerFixture fixture(smallLimits());
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    CHECK(statusLine(fixture.receive(socket, milliseconds(300))) == "HTTP/1.1 200");
+    fixture.runFor(milliseconds(1000));
+    // The first write makes the closed end reset the connection.
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(std::string("x")), error);
+    fixture.runFor(milliseconds(50));
+    asio::write(socket, asio::buffer(std::string("x")), error);
+    CHECK(error);
+}
+
 // Guards against: responses that were not read, and requests behind others, were not counted.
 TEST_CASE("Responses that are not read count as held, and are closed for memory", "[HttpServer]")
 {
