--- a/JobEntry/JobEntryMetrics.cpp
+++ b/JobEntry/JobEntryMetrics.cpp
@@ -13,7 +13,7 @@
     writeMetric(text, "lagoonpick_jobs_total", "end=\"cancelled\"", static_cast<double>(counters.cancelled_));
     writeMetric(text, "lagoonpick_jobs_total", "end=\"rejected\"", static_cast<double>(counters.rejected_));
     writeMetric(text, "lagoonpick_jobs_total", "end=\"given_up\"", static_cast<double>(counters.givenUp_));
-    writeMetricHeader(text, "lagoonpick_jobs_withdrawn_total", "counter", "Jobs that were answered before their callers' time was over, because they could not end in it.");
+    writeMetricHeader(text, "lagoonpick_jobs_withdrawn_total", "counter", "Accepted jobs recalled before their deadline because a task could not end by then.");
     writeMetric(text, "lagoonpick_jobs_withdrawn_total", "", static_cast<double>(counters.withdrawn_));
     writeMetricHeader(text, "lagoonpick_jobs_late_total", "counter", "Jobs that were done later than they should.");
     writeMetric(text, "lagoonpick_jobs_late_total", "", static_cast<double>(counters.doneLate_));
--- a/Lagoonpick/Job/JobEntryCore.h
+++ b/Lagoonpick/Job/JobEntryCore.h
@@ -216,6 +216,7 @@
     EvacuationState evacuation_;
     WorkModel workModel_;
     UrgentLoad urgentLoad_;
+    Time utilizationRecordedAt_;
     AgentTable agents_;
     std::map<LinkId, Incarnation> links_;
     std::map<JobKey, HeldJob> jobs_;
--- a/Lagoonpick/Job/JobEntryCoreLinks.cpp
+++ b/Lagoonpick/Job/JobEntryCoreLinks.cpp
@@ -159,10 +159,14 @@
     Duration remaining = scale(Duration(static_cast<Duration::rep>(stalled.remainingMicroseconds_)), minRemainingFactor);
     bool hasOtherAgent = elsewhere.agent_.isValid() && elsewhere.agent_ != task.agent_;
     Duration timeLeft = job.deadline_ - now;
-    // If the task's own work is long, a new run takes as long on a target of the same speed.
     const bool isWorkKnown = stalled.workMicroseconds_ > 0;
-    if (isWorkKnown && job.work_.count() > 0)
-        elsewhere.finish_ = scale(elsewhere.finish_, std::max(1.0, static_cast<double>(stalled.workMicroseconds_) / static_cast<double>(job.work_.count())));
+    const auto expected = static_cast<double>(expectedWork(job, *findAgent(link)).count());
+    if (isWorkKnown && hasOtherAgent && expected > 0) {
+        // If the task's own work is long, a new run takes longer than expected by the same factor. Its wait does not depend on that.
+        double factor = std::max(1.0, static_cast<double>(stalled.workMicroseconds_) / expected);
+        const AgentRow& other = agents_[elsewhere.agent_];
+        elsewhere.finish_ += scale(scale(expectedWork(job, other), other.slowdown()), factor - 1);
+    }
     Duration earliest = isWorkKnown ? elsewhere.finish_ : shortestFinish(elsewhere.finish_, job);
     if (remaining > timeLeft && (!hasOtherAgent || earliest > timeLeft)) {
         withdraw(ref.job_, std::min(remaining, hasOtherAgent ? earliest : remaining), now);
@@ -228,13 +232,16 @@
 
 void JobEntryCore::recordUtilization(Time now)
 {
+    if (now - utilizationRecordedAt_ < settings_.heartbeatInterval_)
+        return;
+    utilizationRecordedAt_ = now;
     struct Sums {
         double used_ { 0 };
         double capacity_ { 0 };
     };
     std::map<std::string, Sums> services;
     for (const auto& [incarnation, agent] : agents_) {
-        if (!agent.isUsable())
+        if (!isUsable(agent))
             continue;
         Sums& sums = services[agent.report_.service_];
         sums.used_ += agent.report_.used_.milliCores_;
--- a/Lagoonpick/Job/JobEntryCorePlacement.cpp
+++ b/Lagoonpick/Job/JobEntryCorePlacement.cpp
@@ -12,7 +12,7 @@
 /// Longest wait of a task at a target before it is placed anew, as a multiple of the expected wait: by then the expectation was wrong,
 /// and another target may have room.
 constexpr Duration::rep maxWaitFactor = 2;
-/// Maximum number of targets with room, and of full targets, that are considered for a task; on the rack of its data, and elsewhere.
+/// Maximum number of targets considered for a task in each of four groups: with room or full, on the rack of its data or elsewhere.
 constexpr std::size_t maxSampleSize = 8;
 /// Full targets are considered too if a task is expected to end later than this multiple of its expected run time: it may end
 /// sooner by waiting there.
@@ -80,7 +80,7 @@
 {
     Duration run = scale(expectedWork(job, agent), agent.slowdown());
     StartOrder order { job.queue_.priority_, latestStart(job, run) };
-    // By the time that it could start, it would have made way for those that can still end when they are due.
+    // A task that is not expected to start in time is ordered after those that still can.
     if (order.due_ < now || agent.backlog_.waitOf(order) > order.due_ - now)
         order.due_ = std::max(order.due_, job.deadline_ - run);
     return order;
--- a/Lagoonpick/Job/UrgentLoad.cpp
+++ b/Lagoonpick/Job/UrgentLoad.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Time in which the weight of what was recorded falls to 37 %: about the time for which callers wait, since a job's wait depends on what
-/// arrives within that time.
-constexpr Duration memory = std::chrono::milliseconds(1500);
+/// Time constant of the decay of recorded work: about the time for which callers wait, since a job's wait depends on what arrives within
+/// it.
+constexpr Duration decayTime = std::chrono::milliseconds(1500);
 /// The largest share that is reckoned with: near 1 the wait grows without bound, and the share isn't known so exactly.
 constexpr double maxShare = 0.9;
 /// Limit on the services, beyond which all are cleared, so that services removed from the configuration do not pile up.
@@ -17,7 +17,7 @@
 
 double weightAfter(Duration age)
 {
-    return std::exp(-static_cast<double>(std::max<Duration>(age, Duration()).count()) / static_cast<double>(memory.count()));
+    return std::exp(-static_cast<double>(std::max<Duration>(age, Duration()).count()) / static_cast<double>(decayTime.count()));
 }
 
 } // namespace
--- a/Lagoonpick/Run/ColdStart.cpp
+++ b/Lagoonpick/Run/ColdStart.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Part of its processors that a target is given as it gets cold: a target of 32 cores runs a few tasks of one core.
-constexpr std::uint32_t firstPart = 8;
+/// Divisor of the processors that a target is given when it becomes cold: a target of 32 cores runs a few tasks of one core.
+constexpr std::uint32_t initialDivisor = 8;
 /// Room for one task of a usual size.
 constexpr std::uint32_t minMilliCores = 1000;
 /// A run that took up to this multiple of its expected time ended at the expected speed: declared times are off by 40 %, and kinds of
@@ -27,7 +27,7 @@
     if (wasCold)
         return false;
     coldSince_ = now;
-    milliCores_ = std::max(capacity.milliCores_ / firstPart, minMilliCores);
+    milliCores_ = std::max(capacity.milliCores_ / initialDivisor, minMilliCores);
     return true;
 }
 
--- a/Lagoonpick/Run/RunAgentCore.cpp
+++ b/Lagoonpick/Run/RunAgentCore.cpp
@@ -261,7 +261,7 @@
     switch (end) {
     case RunEnd::Done:
         ++counters_.done_;
-        monitor_.recordDone(isComparable ? took : Duration(), run.work_, now);
+        monitor_.recordDone(took, isComparable ? run.work_ : Duration(), now);
         cold_.recordDone(took, run.work_, run.need_, now);
         break;
     case RunEnd::Failed:
--- a/Lagoonpick/Run/RunAgentCoreLease.cpp
+++ b/Lagoonpick/Run/RunAgentCoreLease.cpp
@@ -184,7 +184,7 @@
 {
     const TargetHeartbeat& heartbeat = target_.heartbeat();
     log(LogLine("target_began").text("target", heartbeat.incarnation_.id_).number("born_ms", heartbeat.incarnation_.startedAt_).text("service", heartbeat.service_).flag("draining", heartbeat.isDraining_));
-    recordCold(now);
+    monitor_.resetFaults();
     handleRestart(now);
     isLeaseLost_ = false;
     leaseAnsweredAt_ = now;
@@ -211,6 +211,9 @@
 void RunAgentCore::handleRestart(Time now)
 {
     log(LogLine("target_restarted").text("target", target_.incarnation().id_).number("born_ms", target_.incarnation().startedAt_));
+    // Whether the former incarnation was cold says nothing about this one.
+    cold_ = ColdStart();
+    recordCold(now);
     // Their answers may come from the former incarnation.
     pendingLeases_.clear();
     // A start that is still on its way was stopped at the former incarnation, of which the present one knows nothing. It carries a
--- a/Lagoonpick/Run/RunAgentCoreStalls.cpp
+++ b/Lagoonpick/Run/RunAgentCoreStalls.cpp
@@ -14,6 +14,8 @@
 constexpr double slowTargetThreshold = 2;
 /// A new start elsewhere gains nothing if the remaining time is below this multiple of the expected time of a whole run.
 constexpr double minMoveRatio = 1.5;
+/// A run counts as a straggler if it still needs this multiple of its expected time on the target: more than the error of declared times.
+constexpr double minStragglerRatio = 2;
 /// Share of the estimated remaining time that is regarded as certain: the progress rate is known to within about a
 /// tenth.
 constexpr double certainRemainingShare = 0.8;
@@ -53,15 +55,16 @@
         if (!remaining)
             continue;
         double left = static_cast<double>(remaining->count());
-        bool isLong = left >= minMoveRatio * static_cast<double>(run.work_.count());
-        if (isLong && !isTargetAtFault)
+        const auto work = static_cast<double>(run.work_.count());
+        bool isLong = left >= minMoveRatio * work;
+        if (!isTargetAtFault && left >= minStragglerRatio * slowdown * work)
             recordStraggler(run, *remaining);
         bool isMovable = isLong && isTargetAtFault;
         bool missesDeadline = left * certainRemainingShare > static_cast<double>((run.deadline_ - now).count());
         if (!isMovable && !missesDeadline)
             continue;
-        Duration work = isTargetAtFault ? Duration() : scale(*remaining + (now - run.startSentAt_), 1 / slowdown);
-        reportStall(run, { .run_ = run.run_, .remainingMicroseconds_ = static_cast<std::uint64_t>(remaining->count()), .workMicroseconds_ = static_cast<std::uint64_t>(work.count()) }, now);
+        Duration ownWork = isTargetAtFault ? Duration() : scale(*remaining + (now - run.startSentAt_), 1 / slowdown);
+        reportStall(run, { .run_ = run.run_, .remainingMicroseconds_ = static_cast<std::uint64_t>(remaining->count()), .workMicroseconds_ = static_cast<std::uint64_t>(ownWork.count()) }, now);
     }
     reportSuspicion(now);
 }
--- a/Lagoonpick/Run/TargetMonitor.cpp
+++ b/Lagoonpick/Run/TargetMonitor.cpp
@@ -9,15 +9,15 @@
 
 /// Weight of a single run's end in the share of failures: about the last seven ends count.
 constexpr double failureWeight = 0.15;
-/// Weight of a stuck run. Two of different jobs exceed `suspectThreshold` even if each alone may be at fault: a run that fails ends at once,
-/// while each further stuck one holds room and a caller.
+/// Weight of a stuck run: two of different jobs exceed `suspectThreshold`. It is higher than that of a failure because a stuck run holds its
+/// room and its caller until it is stopped.
 constexpr double stuckWeight = 0.25;
 /// Exceeded by three consecutive failures of different jobs with no successful run between them: faults of the jobs
 /// themselves do not explain that.
 constexpr double suspectThreshold = 0.38;
 /// Far enough below `suspectThreshold` that single ends don't toggle the state.
 constexpr double trustedThreshold = 0.15;
-/// Number of ended runs that count to the slowdown. Their mean is as exact as a moving average over five, of which the newest weigh most.
+/// Number of ended runs that count to the slowdown. Their mean has the variance of a moving average in which each new sample weighs 0.2.
 constexpr std::size_t maxEndedRuns = 9;
 /// All ended runs weigh as much as this many runs in progress, which show the present state of the target.
 constexpr double endedRunsWeight = 2;
@@ -74,6 +74,14 @@
     updateSuspicion();
 }
 
+void TargetMonitor::resetFaults()
+{
+    failureShare_ = 0;
+    isSuspect_ = false;
+    lastFailedJob_.clear();
+    stuckRunBegan_ = Time::min();
+}
+
 void TargetMonitor::updateSuspicion()
 {
     if (failureShare_ > suspectThreshold)
--- a/Lagoonpick/Run/TargetMonitor.h
+++ b/Lagoonpick/Run/TargetMonitor.h
@@ -8,12 +8,13 @@
 
 namespace Lagoonpick {
 
-/// Measures a target by its runs: its slowdown, and whether it fails everything that it runs.
+/// Measures a target by its runs: its slowdown, and whether it fails or hangs most of what it runs.
 ///
 /// Not thread-safe.
 class TargetMonitor {
 public:
-    /// Records a run that ended as done. `work` is its expected run time on a target of slowdown 1.
+    /// Records a run that ended as done. `work` is its expected run time on a target of slowdown 1; zero if the time that it took must not
+    /// count to the slowdown.
     void recordDone(Duration took, Duration work, Time now);
 
     /// Records the time that a run took, or would have taken if it had not been stopped.
@@ -26,7 +27,10 @@
     /// Records a run that makes no progress. Two of different jobs make the target suspect: others may never end on it.
     void recordStuck(std::string_view job, Time startedAt);
 
-    /// True once the runs of several jobs have failed, until most runs succeed again.
+    /// Forgets failed and stuck runs, which say nothing about another target.
+    void resetFaults();
+
+    /// True once runs of several jobs have failed or made no progress, until enough later runs are done.
     bool isSuspect() const { return isSuspect_; }
 
     /// What the latest ended runs show; returns to a slowdown of 1 as they age, and counts as that while there are few. The weights add up to
@@ -49,7 +53,7 @@
     std::deque<EndedRun> endedRuns_;
     double samples_ { 0 };
     double typicalMicroseconds_ { 0 };
-    /// Weighted share of failures among the newest ends; consecutive failures of one job count once.
+    /// Weighted share of failed and stuck runs among the newest; consecutive ones of one job count once.
     double failureShare_ { 0 };
     bool isSuspect_ { false };
     std::string lastFailedJob_;
--- a/Lagoonpick/Run/TargetState.cpp
+++ b/Lagoonpick/Run/TargetState.cpp
@@ -36,6 +36,7 @@
     heartbeat_.incarnation_.startedAt_ = startedAt;
     heartbeat_.sequence_ = 0;
     heartbeat_.isDraining_ = false;
+    heartbeat_.coldLeft_ = Duration();
     isDrainReported_ = false;
     isStale_ = true;
     clock_.reset();
--- a/RunAgent/RunAgentMetrics.cpp
+++ b/RunAgent/RunAgentMetrics.cpp
@@ -22,13 +22,13 @@
     writeMetric(text, "lagoonpick_starts_unanswered_total", "", static_cast<double>(counters.startsUnanswered_));
     writeMetricHeader(text, "lagoonpick_lease_answers_missed_total", "counter", "Lease renewals without an answer.");
     writeMetric(text, "lagoonpick_lease_answers_missed_total", "", static_cast<double>(counters.leaseAnswersMissed_));
-    writeMetricHeader(text, "lagoonpick_cold_starts_total", "counter", "How often the target was found to be cold.");
+    writeMetricHeader(text, "lagoonpick_cold_starts_total", "counter", "Times that the target became cold.");
     writeMetric(text, "lagoonpick_cold_starts_total", "", static_cast<double>(counters.coldStarts_));
-    writeMetricHeader(text, "lagoonpick_stalled_runs_total", "counter", "Runs reported to their entries as too long or without progress.");
+    writeMetricHeader(text, "lagoonpick_stalled_runs_total", "counter", "Runs reported to their entries because their remaining time is too long.");
     writeMetric(text, "lagoonpick_stalled_runs_total", "", static_cast<double>(counters.stalled_));
-    writeMetricHeader(text, "lagoonpick_stuck_runs_total", "counter", "Runs without any progress.");
+    writeMetricHeader(text, "lagoonpick_stuck_runs_total", "counter", "Runs reported as stuck: no progress for longer than a slow target explains.");
     writeMetric(text, "lagoonpick_stuck_runs_total", "", static_cast<double>(counters.stuck_));
-    writeMetricHeader(text, "lagoonpick_stragglers_total", "counter", "Runs far over their expected time on a sound target, left to run.");
+    writeMetricHeader(text, "lagoonpick_stragglers_total", "counter", "Runs on a sound target that take a multiple of their expected time; not stopped for that.");
     writeMetric(text, "lagoonpick_stragglers_total", "", static_cast<double>(counters.stragglers_));
     writeMetricHeader(text, "lagoonpick_target_suspicions_total", "counter", "How often the target became suspect.");
     writeMetric(text, "lagoonpick_target_suspicions_total", "", static_cast<double>(counters.suspicions_));
