--- a/JobEntry/JobEntryHost.cpp
+++ b/JobEntry/JobEntryHost.cpp
@@ -261,9 +261,9 @@
 
 void JobEntryHost::continueShutdown(Time now)
 {
-    bool mustListen = now - *shutdownAt_ < settings_.job_.shutdownAcceptance_;
+    bool isAccepting = now - *shutdownAt_ < settings_.job_.shutdownAcceptance_;
     bool isOver = now - *shutdownAt_ >= settings_.job_.shutdownTimeout_;
-    if (mustListen || (front_.busyConnections() && !isOver))
+    if (isAccepting || (front_.busyConnections() && !isOver))
         return;
     log(LogLine("stopped").milliseconds("after_ms", now - *shutdownAt_).number("connections", front_.busyConnections()));
     log_.flush();
