--- /dev/null
+++ b/review/harness-3/Cases.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Deployment.h"
+
+namespace Review {
+
+/// How a script ended, and its exit code.
+enum class Verdict {
+    Held = 0,
+    Broken = 1,
+    NotRun = 2,
+};
+
+/// The body of a job whose tasks each need `milliCores` for `workMs`, and that need not be kept.
+inline std::string makeJob(int tasks, int workMs, int milliCores)
+{
+    std::string work = std::to_string(workMs);
+    std::string cpu = std::to_string(milliCores);
+    return R"({"spec":"work_ms=)" + work + " cpu=" + cpu + R"(","best_effort":true,"steps":[{"count":)" + std::to_string(tasks) + R"(,"cpu":)" + cpu + R"(,"mem_mb":256,"estimate_ms":)" + work + "}]}";
+}
+
+/// An id of 16 hexadecimal digits.
+std::string makeId(std::uint64_t number);
+
+/// Sends a job; the platform's balancer has chosen the entry.
+Reply submit(const Deployment& deployment, int entry, const std::string& id, const std::string& job, std::int64_t deadlineMs, std::int64_t waitMs);
+
+/// Clients that leave before their answer, and then clients that stay.
+Verdict runAbandonedRequests(Record& record, bool hasTrouble);
+/// A job that a retry brought to another entry than the one that its cancelling reaches.
+Verdict runCancelledElsewhere(Record& record, bool hasTrouble);
+/// SIGTERM while accepted jobs wait for room.
+Verdict runQueuedAtShutdown(Record& record, bool hasTrouble);
+
+} // namespace Review
