--- a/review/harness-3/Cases.h
+++ b/review/harness-3/Cases.h
@@ -22,13 +22,19 @@
 /// An id of 16 hexadecimal digits.
 std::string makeId(std::uint64_t number);
 
+/// The header that says how long a client waits.
+inline std::string deadlineHeader(std::int64_t milliseconds)
+{
+    return "Lagoonpick-Deadline-Ms: " + std::to_string(milliseconds) + "\r\n";
+}
+
 /// Sends a job; the platform's balancer has chosen the entry.
 Reply submit(const Deployment& deployment, int entry, const std::string& id, const std::string& job, std::int64_t deadlineMs, std::int64_t waitMs);
 
 /// Clients that leave before their answer, and then clients that stay.
 Verdict runAbandonedRequests(Record& record, bool hasTrouble);
-/// A job that a retry brought to another entry than the one that its cancelling reaches.
-Verdict runCancelledElsewhere(Record& record, bool hasTrouble);
+/// A connection that is reset while the next request is waiting behind a job.
+Verdict runResetBehindNextRequest(Record& record, bool hasTrouble);
 /// SIGTERM while accepted jobs wait for room.
 Verdict runQueuedAtShutdown(Record& record, bool hasTrouble);
 
--- a/review/harness-3/Http.cpp
+++ b/review/harness-3/Http.cpp
@@ -183,30 +183,62 @@
     return true;
 }
 
-Reply call(const Address& address, const std::string& method, const std::string& path, const std::string& body, const std::string& headers, std::int64_t waitMs)
+std::string makeRequest(const std::string& method, const std::string& path, const std::string& body, const std::string& headers)
 {
-    Reply reply { .sentAt_ = nowMs() };
-    int handle = connectTo(address);
-    if (handle >= 0) {
-        reply.isConnected_ = true;
-        std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nContent-Type: application/json\r\n" + headers;
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        std::string buffer;
-        Message message;
-        auto end = writeAll(handle, text) ? readMessage(handle, buffer, message, reply.sentAt_ + waitMs) : ReadEnd::Closed;
-        if (end == ReadEnd::Data) {
-            std::string version;
-            std::istringstream(message.startLine_) >> version >> reply.status_;
-            reply.body_ = message.body_;
-        } else if (end == ReadEnd::TimedOut) {
-            reply.status_ = -1;
-        }
-        close(handle);
+    return method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nContent-Type: application/json\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ClientConnection::ClientConnection(const Address& address)
+    : handle_(connectTo(address))
+{
+}
+
+ClientConnection::~ClientConnection()
+{
+    if (isOpen())
+        close(handle_);
+}
+
+bool ClientConnection::send(const std::string& text) const
+{
+    return isOpen() && writeAll(handle_, text);
+}
+
+Reply ClientConnection::receive(std::int64_t waitMs)
+{
+    Reply reply { .sentAt_ = nowMs(), .isConnected_ = isOpen() };
+    Message message;
+    auto end = isOpen() ? readMessage(handle_, buffer_, message, reply.sentAt_ + waitMs) : ReadEnd::Closed;
+    if (end == ReadEnd::Data) {
+        std::string version;
+        std::istringstream(message.startLine_) >> version >> reply.status_;
+        reply.body_ = message.body_;
+    } else if (end == ReadEnd::TimedOut) {
+        reply.status_ = -1;
     }
     reply.endedAt_ = nowMs();
     return reply;
 }
 
+void ClientConnection::reset()
+{
+    linger atOnce { 1, 0 };
+    setsockopt(handle_, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    close(handle_);
+    handle_ = -1;
+}
+
+Reply call(const Address& address, const std::string& method, const std::string& path, const std::string& body, const std::string& headers, std::int64_t waitMs)
+{
+    auto sentAt = nowMs();
+    ClientConnection connection(address);
+    if (!connection.send(makeRequest(method, path, body, headers)))
+        return { .sentAt_ = sentAt, .endedAt_ = nowMs(), .isConnected_ = connection.isOpen() };
+    auto reply = connection.receive(sentAt + waitMs - nowMs());
+    reply.sentAt_ = sentAt;
+    return reply;
+}
+
 HttpServer::HttpServer(const Address& address, Handler handler)
     : handler_(std::move(handler))
     , socket_(bindTo(address))
--- a/review/harness-3/Http.h
+++ b/review/harness-3/Http.h
@@ -47,6 +47,29 @@
 /// Sends a request over a connection of its own and waits for the answer at most `waitMs`, then closes the connection.
 Reply call(const Address& address, const std::string& method, const std::string& path, const std::string& body, const std::string& headers, std::int64_t waitMs);
 
+/// The text of a request.
+std::string makeRequest(const std::string& method, const std::string& path, const std::string& body, const std::string& headers);
+
+/// A client's connection that it uses by hand.
+class ClientConnection {
+public:
+    explicit ClientConnection(const Address& address);
+    ~ClientConnection();
+    ClientConnection(const ClientConnection&) = delete;
+    ClientConnection& operator=(const ClientConnection&) = delete;
+
+    bool isOpen() const { return handle_ >= 0; }
+    bool send(const std::string& text) const;
+    /// Waits for the next answer.
+    Reply receive(std::int64_t waitMs);
+    /// Resets the connection at both ends.
+    void reset();
+
+private:
+    int handle_ { -1 };
+    std::string buffer_;
+};
+
 /// True if the port can be bound.
 bool isFree(const Address& address);
 
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -19,7 +19,7 @@
 
 Reply submit(const Deployment& deployment, int entry, const std::string& id, const std::string& job, std::int64_t deadlineMs, std::int64_t waitMs)
 {
-    return call(deployment.front(entry), "POST", Deployment::prefix + id, job, "Lagoonpick-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n", waitMs);
+    return call(deployment.front(entry), "POST", Deployment::prefix + id, job, deadlineHeader(deadlineMs), waitMs);
 }
 
 } // namespace Review
@@ -42,8 +42,8 @@
     Verdict verdict = Verdict::NotRun;
     if (name == "abandoned-requests")
         verdict = runAbandonedRequests(record, hasTrouble);
-    else if (name == "cancelled-elsewhere")
-        verdict = runCancelledElsewhere(record, hasTrouble);
+    else if (name == "reset-behind-next-request")
+        verdict = runResetBehindNextRequest(record, hasTrouble);
     else if (name == "queued-at-shutdown")
         verdict = runQueuedAtShutdown(record, hasTrouble);
     constexpr std::array<const char*, 3> names { "held", "broken", "could not run" };
