--- a/review/harness-3/Cases.h
+++ b/review/harness-3/Cases.h
@@ -31,8 +31,6 @@
 /// Sends a job; the platform's balancer has chosen the entry.
 Reply submit(const Deployment& deployment, int entry, const std::string& id, const std::string& job, std::int64_t deadlineMs, std::int64_t waitMs);
 
-/// Clients that leave before their answer, and then clients that stay.
-Verdict runAbandonedRequests(Record& record, bool hasTrouble);
 /// A connection that is reset while the next request is waiting behind a job.
 Verdict runResetBehindNextRequest(Record& record, bool hasTrouble);
 /// SIGTERM while accepted jobs wait for room.
--- a/review/harness-3/Deployment.cpp
+++ b/review/harness-3/Deployment.cpp
@@ -184,27 +184,6 @@
     kill(entries_[static_cast<std::size_t>(entry)], number);
 }
 
-void Deployment::killEntry(int entry)
-{
-    auto process = entries_[static_cast<std::size_t>(entry)];
-    kill(process, SIGKILL);
-    waitpid(process, nullptr, 0);
-}
-
-void Deployment::restartEntry(int entry)
-{
-    auto name = "edge-" + std::to_string(entry + 1);
-    auto settings = folder_ + "/" + name + ".conf";
-    entries_[static_cast<std::size_t>(entry)] = startProcess(entryProgram, settings, folder_ + "/" + name + ".out", size_.entryDescriptors_);
-}
-
-int Deployment::openDescriptors(int entry) const
-{
-    std::error_code error;
-    std::filesystem::directory_iterator files("/proc/" + std::to_string(entries_[static_cast<std::size_t>(entry)]) + "/fd", error);
-    return error ? -1 : static_cast<int>(std::distance(begin(files), end(files)));
-}
-
 std::vector<RunSpan> Deployment::runs()
 {
     std::vector<RunSpan> all;
--- a/review/harness-3/Deployment.h
+++ b/review/harness-3/Deployment.h
@@ -39,10 +39,6 @@
     Address front(int entry) const { return { entryIp(entry), frontPort }; }
     Address ready(int entry) const { return { entryIp(entry), readyPort }; }
     void signalEntry(int entry, int number);
-    void killEntry(int entry);
-    /// Starts the process of an entry that was killed.
-    void restartEntry(int entry);
-    int openDescriptors(int entry) const;
     std::vector<RunSpan> runs();
 
 private:
--- a/review/harness-3/StoreStandIn.cpp
+++ b/review/harness-3/StoreStandIn.cpp
@@ -53,21 +53,6 @@
     putLocked(key, encodeBase64(value), lease);
 }
 
-bool StoreStandIn::hasKey(const std::string& key)
-{
-    std::lock_guard lock(mutex_);
-    return items_.contains(key);
-}
-
-std::size_t StoreStandIn::count(const std::string& prefix)
-{
-    std::lock_guard lock(mutex_);
-    std::size_t found = 0;
-    for (const auto& [key, item] : items_)
-        found += key.starts_with(prefix) ? 1 : 0;
-    return found;
-}
-
 void StoreStandIn::putLocked(const std::string& key, const std::string& encoded, std::int64_t lease)
 {
     ++revision_;
--- a/review/harness-3/StoreStandIn.h
+++ b/review/harness-3/StoreStandIn.h
@@ -17,9 +17,6 @@
 
     /// Writes an item as the operator does.
     void put(const std::string& key, const std::string& value, std::int64_t lease = 0);
-    bool hasKey(const std::string& key);
-    /// How many items have keys that begin so.
-    std::size_t count(const std::string& prefix);
 
 private:
     struct Item {
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -40,9 +40,7 @@
     Record record(argv[2]);
     std::string name = argv[1];
     Verdict verdict = Verdict::NotRun;
-    if (name == "abandoned-requests")
-        verdict = runAbandonedRequests(record, hasTrouble);
-    else if (name == "reset-behind-next-request")
+    if (name == "reset-behind-next-request")
         verdict = runResetBehindNextRequest(record, hasTrouble);
     else if (name == "queued-at-shutdown")
         verdict = runQueuedAtShutdown(record, hasTrouble);
